--- a/packages/ebonylb/src/ebonylb/adapters/clock.py
+++ b/packages/ebonylb/src/ebonylb/adapters/clock.py
@@ -20,3 +20,7 @@
     async def sleep_ms(self, duration_ms: float) -> None:
         """Wait for a duration in milliseconds."""
         await asyncio.sleep(duration_ms / 1000)
+
+    def boot_ms(self) -> float:
+        """Return a monotonic time that also counts suspension, in milliseconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * 1000
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/batches/__init__.py
@@ -0,0 +1,21 @@
+"""Batch jobs: kept in the platform's store, run by whichever entry VM holds them."""
+
+from .board import BatchBoard
+from .duty import BatchDuty, ResultsPage
+from .item_run import ItemRunner
+from .model import Batch, BatchHeader, BatchItem, ItemResult
+from .placement import ItemPlacement
+from .repository import BatchRepository
+
+__all__ = [
+    "Batch",
+    "BatchBoard",
+    "BatchDuty",
+    "BatchHeader",
+    "BatchItem",
+    "BatchRepository",
+    "ItemPlacement",
+    "ItemResult",
+    "ItemRunner",
+    "ResultsPage",
+]
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/batches/duty.py
@@ -0,0 +1,423 @@
+"""Batches of this entry VM: submission, reading, ending, and taking over."""
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+from xxhash import xxh64_intdigest
+
+from ..edges import Clock, Metrics
+from ..outcomes import Outcome, Refusal, new_token
+from ..routes import RouteTable
+from ..storage.follower import TableFollower
+from .board import BatchBoard, Seen
+from .holder import BatchHolder
+from .item_run import ItemRunner
+from .model import Batch, ItemResult, Progress
+from .repository import BatchRepository, StoredProgress
+
+logger = logging.getLogger(__name__)
+
+# Several heartbeats of a holder, so that one slow commit does not move a batch.
+SILENCE_MS = 2_600.0
+# Entry VMs take over at different times, so that they do not all read the batch.
+SPREAD_MS = 800.0
+RELEASED_SPREAD_MS = 250.0
+WATCH_MS = 150.0
+SETTLE_LIMIT_MS = 1_500.0
+RETRY_MS = 80.0
+STORE_RETRY_AFTER_MS = 500
+# Kept beyond the agreed retention, since clocks of the entry VMs differ.
+DELETE_SLACK_MS = 60_000
+DELETE_CHECK_MS = 10_000
+# Largest text of one answer; the callers take at most 1 MB of results.
+ANSWER_BYTES = 900_000
+
+
+@dataclass(frozen=True, slots=True)
+class ResultsPage:
+    """Results of a batch from a position on."""
+
+    total: int
+    next_position: int
+    results: list[ItemResult]
+
+
+UNSURE = Refusal(
+    Outcome.NOT_RUN,
+    "store_unreachable",
+    "this entry VM cannot reach the store that keeps batches",
+    STORE_RETRY_AFTER_MS,
+)
+UNKNOWN_BATCH = Refusal(Outcome.NOT_RUN, "no_batch", "no batch has this id")
+UNCLEAR = Refusal(
+    Outcome.MAY_HAVE_RUN,
+    "store_unclear",
+    "the store did not confirm the batch; send it again",
+    STORE_RETRY_AFTER_MS,
+)
+
+
+class BatchDuty:
+    """Batches of this entry VM.
+
+    Parameters
+    ----------
+    name, incarnation : str
+        This entry VM and its start.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: str,
+        routes: RouteTable,
+        board: BatchBoard,
+        follower: TableFollower,
+        repository: BatchRepository,
+        runner: ItemRunner,
+        clock: Clock,
+        metrics: Metrics,
+        retention_ms: float,
+    ) -> None:
+        self.name = name
+        self.incarnation = incarnation
+        self.routes = routes
+        self.board = board
+        self.follower = follower
+        self.repository = repository
+        self.runner = runner
+        self.clock = clock
+        self.metrics = metrics
+        self.retention_ms = retention_ms
+        self.holders: dict[str, BatchHolder] = {}
+        self.claiming: set[str] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.leaving = False
+        self.deleted_ms = 0.0
+        board.listeners.append(self.note_change)
+
+    def note_change(self, seen: Seen) -> None:
+        """Tell the holder of a batch what became of it."""
+        holder = self.holders.get(seen.progress.header.batch_id)
+        if holder is not None:
+            holder.take_over_progress(seen.stored)
+
+    async def submit(self, batch: Batch) -> Refusal | None:
+        """Store a batch and start it; None when it is accepted, also earlier."""
+        batch_id = batch.header.batch_id
+        if self.board.get(batch_id) is not None:
+            return None
+        route = self.routes.named(batch.header.route)
+        if self.leaving or route is None:
+            return UNSURE
+        progress = Progress(
+            batch.header, self.name, self.incarnation, token=new_token()
+        )
+        created = await self.repository.create(batch, progress)
+        if isinstance(created, Err):
+            return await self.settle_submission(batch, progress, created.err_value)
+        if created.ok_value is not None:
+            self.accepted(batch, created.ok_value)
+        return None
+
+    async def settle_submission(
+        self, batch: Batch, progress: Progress, error: Exception
+    ) -> Refusal | None:
+        """Find out whether a submission was stored.
+
+        A write without an answer may still be carried out later, so that only a write
+        that surely failed is refused as not run.
+        """
+        logger.warning(
+            "submission not confirmed",
+            extra={"batch": batch.header.batch_id, "cause": str(error)},
+        )
+        if not error.may_have_run:
+            return UNSURE
+        found = await self.repository.progress(batch.header.batch_id)
+        if isinstance(found, Ok) and found.ok_value is not None:
+            if found.ok_value.progress.token == progress.token:
+                self.accepted(batch, found.ok_value)
+            return None
+        return UNCLEAR
+
+    def accepted(self, batch: Batch, stored: StoredProgress) -> None:
+        """Run a batch that was stored with this entry VM as holder."""
+        self.board.note(stored)
+        logger.info(
+            "batch accepted",
+            extra={
+                "batch": batch.header.batch_id,
+                "step": batch.header.step,
+                "model": batch.header.model,
+                "min_version": batch.header.min_version,
+                "items": batch.header.total,
+                "groups_wanted": batch.header.groups_wanted,
+            },
+        )
+        self.start(self.run_accepted(batch, stored))
+
+    def start(self, work) -> None:
+        """Run a coroutine that ends by itself."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.finish_task)
+
+    def finish_task(self, task: asyncio.Task[None]) -> None:
+        """Log an unexpected end."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.error("batch task failed", exc_info=task.exception())
+
+    def holder_of(self, batch: Batch, stored: StoredProgress) -> BatchHolder | None:
+        """Return a new holder; None when the batch's route is gone."""
+        route = self.routes.named(batch.header.route)
+        if route is None:
+            logger.warning(
+                "route of a batch is gone",
+                extra={"batch": batch.header.batch_id, "route": batch.header.route},
+            )
+            return None
+        return BatchHolder(
+            batch,
+            stored,
+            route,
+            self.repository,
+            self.runner,
+            self.clock,
+            self.metrics,
+            self.board.note,
+            self.repository.row_bytes,
+        )
+
+    async def run_accepted(self, batch: Batch, stored: StoredProgress) -> None:
+        """Run a new batch, with what is left of the trainer's last one."""
+        holder = self.holder_of(batch, stored)
+        if holder is None:
+            return
+        self.holders[batch.header.batch_id] = holder
+        await self.use_leftovers(holder)
+        await self.run_holder(holder)
+
+    async def use_leftovers(self, holder: BatchHolder) -> None:
+        """Take over stored text of items that the last step left unfinished."""
+        header = holder.batch.header
+        if header.step < 1:
+            return
+        earlier = [
+            seen.progress.header
+            for seen in self.board.seen.values()
+            if seen.progress.header.route == header.route
+            and seen.progress.header.model == header.model
+            and seen.progress.header.step == header.step - 1
+        ]
+        for previous in earlier:
+            results = await self.repository.results(previous.batch_id, 0)
+            partials = await self.repository.partials(previous.batch_id)
+            if isinstance(results, Err) or isinstance(partials, Err):
+                logger.info("leftovers not read", extra={"batch": header.batch_id})
+                continue
+            used = holder.carry_over(tuple(results.ok_value), partials.ok_value)
+            if used:
+                logger.info(
+                    "leftovers used", extra={"batch": header.batch_id, "items": used}
+                )
+
+    async def run_holder(self, holder: BatchHolder) -> None:
+        """Run a batch to its end here."""
+        self.holders[holder.batch_id] = holder
+        if self.leaving:
+            holder.release()
+        try:
+            await holder.run()
+        finally:
+            self.holders.pop(holder.batch_id, None)
+            logger.info(
+                "batch left",
+                extra={
+                    "batch": holder.batch_id,
+                    "listed": holder.progress.listed,
+                    "total": holder.batch.header.total,
+                    "ended": holder.progress.ended,
+                },
+            )
+
+    async def find(self, batch_id: str) -> Result[Progress, Refusal]:
+        """Return the progress of a batch, from the store when it is not known here."""
+        known = self.board.get(batch_id)
+        if known is not None:
+            return Ok(known)
+        found = await self.repository.progress(batch_id)
+        if isinstance(found, Err):
+            return Err(UNSURE)
+        if found.ok_value is None:
+            return Err(UNKNOWN_BATCH)
+        self.board.note(found.ok_value)
+        return Ok(found.ok_value.progress)
+
+    async def read(
+        self, batch_id: str, after: int, wait_ms: float
+    ) -> Result[ResultsPage, Refusal]:
+        """Return results from a position on, after waiting for the first of them."""
+        found = await self.find(batch_id)
+        if isinstance(found, Err):
+            return found
+        progress = found.ok_value
+        if progress.listed <= after and not progress.ended and wait_ms > 0:
+            await self.board.wait_for_result(batch_id, after, wait_ms)
+        holder = self.holders.get(batch_id)
+        if holder is not None and len(holder.results) > after:
+            results = holder.results[after:]
+        else:
+            stored = await self.repository.results(batch_id, after)
+            if isinstance(stored, Err):
+                return Err(UNSURE)
+            results = stored.ok_value
+        size, count = 0, 0
+        for result in results:
+            size += len(result.text) + 200
+            if count and size > ANSWER_BYTES:
+                break
+            count += 1
+        return Ok(ResultsPage(progress.header.total, after + count, results[:count]))
+
+    async def item_body(self, batch_id: str, item_id: str) -> Result[bytes, Refusal]:
+        """Return the body of an item."""
+        holder = self.holders.get(batch_id)
+        if holder is not None:
+            items = holder.batch.items
+        else:
+            found = await self.find(batch_id)
+            if isinstance(found, Err):
+                return found
+            stored = await self.repository.items(batch_id)
+            if isinstance(stored, Err):
+                return Err(UNSURE)
+            items = stored.ok_value
+        for item in items:
+            if item.item_id == item_id:
+                return Ok(item.body)
+        return Err(UNKNOWN_BATCH)
+
+    async def end(self, batch_id: str) -> Refusal | None:
+        """End a batch; None when it is ended, also earlier."""
+        give_up = self.clock.monotonic_ms() + SETTLE_LIMIT_MS
+        token = new_token()
+        known = self.board.seen.get(batch_id)
+        stored = known.stored if known else None
+        while self.clock.monotonic_ms() < give_up:
+            if stored is None:
+                found = await self.repository.progress(batch_id)
+                if isinstance(found, Err):
+                    await self.clock.sleep_ms(RETRY_MS)
+                    continue
+                if found.ok_value is None:
+                    return UNKNOWN_BATCH
+                stored = found.ok_value
+            if stored.progress.closed:
+                self.board.note(stored)
+                return None
+            after = stored.progress.written(token, ended=True, closed=True)
+            done = await self.repository.replace(stored.version, after)
+            if isinstance(done, Ok) and done.ok_value is not None:
+                self.board.note(done.ok_value)
+                return None
+            stored = None
+        return UNSURE
+
+    async def watch(self) -> None:
+        """Take over batches whose holder went silent, until cancelled."""
+        while True:
+            await self.clock.sleep_ms(WATCH_MS)
+            if self.leaving or self.follower.healthy_since_ms is None:
+                continue
+            now = self.clock.monotonic_ms()
+            for seen in list(self.board.seen.values()):
+                if self.is_abandoned(seen, now):
+                    batch_id = seen.progress.header.batch_id
+                    self.claiming.add(batch_id)
+                    self.start(self.take_over(seen.stored))
+            if now - self.deleted_ms > DELETE_CHECK_MS:
+                self.deleted_ms = now
+                self.start(self.delete_expired())
+
+    def is_abandoned(self, seen: Seen, now_ms: float) -> bool:
+        """Tell whether this entry VM should take a batch over now."""
+        progress = seen.progress
+        batch_id = progress.header.batch_id
+        if progress.ended or batch_id in self.holders or batch_id in self.claiming:
+            return False
+        silent = now_ms - max(seen.changed_ms, self.follower.healthy_since_ms or now_ms)
+        if progress.holder == self.name:
+            return progress.incarnation != self.incarnation or silent > SILENCE_MS
+        rank = xxh64_intdigest(f"{batch_id}/{self.name}".encode()) % 1_000 / 1_000
+        if progress.holder == "":
+            return silent > rank * RELEASED_SPREAD_MS
+        return silent > SILENCE_MS + rank * SPREAD_MS
+
+    async def take_over(self, stored: StoredProgress) -> None:
+        """Claim a batch and run it from what is stored."""
+        batch_id = stored.progress.header.batch_id
+        try:
+            if self.routes.named(stored.progress.header.route) is None:
+                await self.clock.sleep_ms(SILENCE_MS)
+                return
+            after = stored.progress.written(
+                new_token(), holder=self.name, incarnation=self.incarnation
+            )
+            claimed = await self.repository.replace(stored.version, after)
+            if isinstance(claimed, Err) or claimed.ok_value is None:
+                await self.clock.sleep_ms(RETRY_MS)
+                return
+            self.board.note(claimed.ok_value)
+            content = await self.repository.content(batch_id)
+            if isinstance(content, Err):
+                # The claim lapses like that of a silent holder.
+                return
+            found = content.ok_value
+            logger.info(
+                "batch taken over",
+                extra={
+                    "batch": batch_id,
+                    "from": stored.progress.holder,
+                    "listed": len(found.results),
+                    "partials": len(found.partials),
+                },
+            )
+            holder = self.holder_of(
+                Batch(stored.progress.header, found.items), claimed.ok_value
+            )
+            if holder is None:
+                return
+            holder.adopt(found.results, found.partials)
+            self.holders[batch_id] = holder
+        finally:
+            self.claiming.discard(batch_id)
+        await self.run_holder(holder)
+
+    async def delete_expired(self) -> None:
+        """Delete batches that no caller may read any more; one entry VM does it."""
+        now = self.clock.wall_ms()
+        limit = self.retention_ms + DELETE_SLACK_MS
+        for seen in list(self.board.seen.values()):
+            header = seen.progress.header
+            age = now - header.submitted_unix_ms
+            if not seen.progress.ended or age < limit:
+                continue
+            if seen.progress.holder not in ("", self.name) and age < 2 * limit:
+                continue
+            done = await self.repository.delete(seen.stored)
+            if isinstance(done, Err):
+                logger.warning("batch not deleted", extra={"batch": header.batch_id})
+                return
+            self.board.forget(header.batch_id)
+
+    async def leave(self) -> None:
+        """Give all batches up, with what there is of their items."""
+        self.leaving = True
+        for holder in list(self.holders.values()):
+            holder.release()
+        while self.holders:
+            await self.clock.sleep_ms(20)
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/batches/item_run.py
@@ -0,0 +1,360 @@
+"""One item on its way: run, continued elsewhere, until it has a result."""
+
+import asyncio
+import logging
+from dataclasses import dataclass, field
+
+from result import Err
+
+from ..edges import Clock, Metrics
+from ..edges.server_port import ServerAnswer, ServerPort, ServerRequest
+from ..fleet import ListedServer, ServerDirectory
+from ..outcomes import StepError
+from ..routes import Route, choose_target
+from .model import (
+    BatchHeader,
+    BatchItem,
+    ItemResult,
+    Partial,
+    distinct_versions,
+)
+from .placement import ItemNeed, ItemPlacement
+
+logger = logging.getLogger(__name__)
+
+NEVER_POSSIBLE = 422
+FAILED = 500
+# A stream without an event for this many usual gaps, and at least this time, is given
+# up: the server froze or its connection went silent.
+STALL_GAPS = 8.0
+SHORTEST_STALL_MS = 400.0
+# A run begins with its first token; before, it may wait in the server's queue.
+FIRST_EVENT_MS = 1_200.0
+HEAD_MS = 1_500.0
+# Time on a server before its speed is judged, and between two moves.
+SETTLE_MS = 300.0
+MOST_MOVES = 4
+# A server that refuses a model is loading its weights, for about a second.
+REFUSED_MS = 150.0
+RETRY_MS = 50.0
+LONGEST_RETRY_MS = 1_000.0
+# Deadline given to servers: no caller waits for a single item, and closing the
+# connection ends the run.
+RUN_DEADLINE_MS = 60_000.0
+
+
+class MovedError(Exception):
+    """The run goes on elsewhere, although this server did not fail."""
+
+
+@dataclass(slots=True)
+class ItemState:
+    """Events received so far, and failed attempts.
+
+    Attributes
+    ----------
+    events, versions : list
+        Data and weight version of each event.
+    stored : int
+        Events that a checkpoint has stored.
+    """
+
+    item: BatchItem
+    events: list[str] = field(default_factory=list)
+    versions: list[int] = field(default_factory=list)
+    stored: int = 0
+    failures: int = 0
+    moves: int = 0
+    tries: int = 0
+
+    def adopt(self, partial: Partial) -> None:
+        """Start from stored events."""
+        self.events = list(partial.events)
+        self.versions = list(partial.versions)
+        self.stored = len(self.events)
+
+    def restart(self) -> None:
+        """Drop what was received."""
+        self.events.clear()
+        self.versions.clear()
+        self.stored = 0
+
+    def result(self) -> ItemResult:
+        """Return the result of a whole run."""
+        return ItemResult(
+            self.item.item_id,
+            True,
+            "\n".join(self.events),
+            distinct_versions(self.versions),
+        )
+
+
+class ItemRunner:
+    """Runs items on servers.
+
+    Parameters
+    ----------
+    placement : ItemPlacement
+        Queue in front of the servers.
+    port : ServerPort
+        Connections to servers.
+    """
+
+    def __init__(
+        self,
+        placement: ItemPlacement,
+        directory: ServerDirectory,
+        port: ServerPort,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.placement = placement
+        self.directory = directory
+        self.port = port
+        self.clock = clock
+        self.metrics = metrics
+
+    def need_of(
+        self, state: ItemState, header: BatchHeader, route: Route, due_ms: float
+    ) -> ItemNeed:
+        """Return what an item asks of a server."""
+        item = state.item
+        exact = None
+        if route.single_version and state.versions:
+            exact = state.versions[0]
+        return ItemNeed(
+            service=choose_target(route, item.item_id).service,
+            model=item.model or header.model,
+            due_ms=due_ms,
+            length_hint=item.length_hint,
+            min_version=header.min_version,
+            exact_version=exact,
+            group=item.group,
+        )
+
+    async def run(
+        self,
+        state: ItemState,
+        header: BatchHeader,
+        route: Route,
+        due_ms: float,
+        give_up_ms: float,
+    ) -> ItemResult:
+        """Return the result of an item, however many servers it takes."""
+        pause = RETRY_MS
+        avoid: str | None = None
+        while True:
+            if self.clock.monotonic_ms() >= give_up_ms and state.tries:
+                return self.give_up(state, "retention is over")
+            need = self.need_of(state, header, route, due_ms)
+            need.avoid = avoid
+            server = await self.placement.acquire(need)
+            state.tries += 1
+            before = len(state.events)
+            try:
+                final = await self.run_on(server, state, need, header, route)
+                if final is not None:
+                    return final
+                avoid = None
+            except MovedError:
+                avoid = server.name
+            except StepError as error:
+                avoid = server.name
+                self.note_broken(server, state, error)
+            finally:
+                self.placement.release(server)
+            if len(state.events) > before:
+                pause = RETRY_MS
+            else:
+                await self.clock.sleep_ms(pause)
+                pause = min(LONGEST_RETRY_MS, pause * 2)
+
+    def note_broken(
+        self, server: ListedServer, state: ItemState, error: StepError
+    ) -> None:
+        """Record a broken run."""
+        self.directory.condition(server.name).note_failure(self.clock.monotonic_ms())
+        self.metrics.incr("batch.broken_runs")
+        logger.info(
+            "item run broke",
+            extra={
+                "item": state.item.item_id,
+                "server": server.name,
+                "events": len(state.events),
+                "cause": str(error),
+            },
+        )
+
+    def give_up(self, state: ItemState, why: str) -> ItemResult:
+        """Return the result of an item that is given up."""
+        logger.warning(
+            "item given up",
+            extra={"item": state.item.item_id, "why": why, "failures": state.failures},
+        )
+        self.metrics.incr("batch.items_given_up")
+        return ItemResult(state.item.item_id, False)
+
+    async def run_on(
+        self,
+        server: ListedServer,
+        state: ItemState,
+        need: ItemNeed,
+        header: BatchHeader,
+        route: Route,
+    ) -> ItemResult | None:
+        """Run an item on one server; None when it did not run there.
+
+        Raises
+        ------
+        StepError
+            The run broke.
+        MovedError
+            The server is too slow.
+        """
+        answer = await self.open(server, state)
+        try:
+            head = answer.head
+            condition = self.directory.condition(server.name)
+            if head.load is not None:
+                condition.note_load(head.load, self.clock.monotonic_ms())
+            if head.not_run:
+                self.note_refusal(server, need, head.wrong_server, head.status)
+                await self.whole_body(answer)
+                return None
+            if head.status == NEVER_POSSIBLE:
+                return self.give_up(state, "the server cannot do it")
+            if head.status == FAILED:
+                state.failures += 1
+                condition.move_failure_share(1.0, self.clock.monotonic_ms())
+                if state.failures >= route.attempts:
+                    return self.give_up(state, "failed at each attempt")
+                return None
+            if head.status != 200:
+                raise StepError("item.status", server.name, f"status {head.status}")
+            self.check_version(server, state, need, head.weight_version, route)
+            await self.read_events(server, state, need, answer, head.weight_version)
+            condition.note_success(self.clock.monotonic_ms())
+            return state.result()
+        finally:
+            answer.close()
+
+    async def whole_body(self, answer: ServerAnswer) -> None:
+        """Read a refusal to its end, so that its connection can be used again."""
+        async with asyncio.timeout(HEAD_MS / 1000):
+            await answer.body()
+
+    async def open(self, server: ListedServer, state: ItemState) -> ServerAnswer:
+        """Send the item and return its answer."""
+        item = state.item
+        request = ServerRequest(
+            "POST",
+            item.target,
+            item.headers,
+            item.body,
+            item.item_id,
+            RUN_DEADLINE_MS,
+            len(state.events) or None,
+        )
+        try:
+            async with asyncio.timeout(HEAD_MS / 1000):
+                opened = await self.port.open(server.target, request)
+        except TimeoutError as error:
+            raise StepError("item.open", server.name, "no answer in time") from error
+        if isinstance(opened, Err):
+            raise opened.err_value
+        return opened.ok_value
+
+    def note_refusal(
+        self, server: ListedServer, need: ItemNeed, wrong_server: bool, status: int
+    ) -> None:
+        """Record that a server did not run an item."""
+        now = self.clock.monotonic_ms()
+        condition = self.directory.condition(server.name)
+        condition.refused_until_ms[need.model] = now + REFUSED_MS
+        if wrong_server:
+            condition.note_failure(now)
+        logger.debug("item refused", extra={"server": server.name, "status": status})
+
+    def check_version(
+        self,
+        server: ListedServer,
+        state: ItemState,
+        need: ItemNeed,
+        version: int | None,
+        route: Route,
+    ) -> None:
+        """Make sure that the weights of an answer may generate the item."""
+        if version is None:
+            if need.model and need.min_version:
+                raise StepError("item.version", server.name, "no weight version")
+            return
+        if need.model:
+            self.directory.condition(server.name).versions[need.model] = version
+        if version < need.min_version:
+            raise StepError("item.version", server.name, f"weights {version} too old")
+        if route.single_version and state.versions and version != state.versions[0]:
+            state.restart()
+            raise StepError("item.version", server.name, "weights changed")
+
+    async def read_events(
+        self,
+        server: ListedServer,
+        state: ItemState,
+        need: ItemNeed,
+        answer: ServerAnswer,
+        version: int | None,
+    ) -> None:
+        """Read the events of a run to its regular end."""
+        condition = self.directory.condition(server.name)
+        events = answer.events()
+        began = last = self.clock.monotonic_ms()
+        first = True
+        while True:
+            usual = self.placement.choice.usual_gap_ms(need.service)
+            stall = max(SHORTEST_STALL_MS, STALL_GAPS * usual)
+            try:
+                async with asyncio.timeout((FIRST_EVENT_MS if first else stall) / 1000):
+                    event = await anext(events, None)
+            except TimeoutError as error:
+                raise StepError(
+                    "item.stall", server.name, "no event in time"
+                ) from error
+            if event is None:
+                return
+            now = self.clock.monotonic_ms()
+            if event.number != len(state.events) + 1:
+                raise StepError(
+                    "item.order",
+                    server.name,
+                    f"event {event.number} after {len(state.events)}",
+                )
+            if event.weight_version is not None:
+                version = event.weight_version
+                condition.versions[need.model] = version
+            state.events.append(event.data)
+            state.versions.append(version or 0)
+            if not first:
+                condition.note_gap(now - last, now)
+            first, last = False, now
+            if now - began > SETTLE_MS and self.is_worth_moving(server, state, need):
+                state.moves += 1
+                self.metrics.incr("batch.moves")
+                logger.info(
+                    "item moved from slow server",
+                    extra={
+                        "item": state.item.item_id,
+                        "server": server.name,
+                        "events": len(state.events),
+                        "gap_ms": round(condition.gap_ms or 0, 1),
+                        "usual_gap_ms": round(usual, 1),
+                    },
+                )
+                raise MovedError
+
+    def is_worth_moving(
+        self, server: ListedServer, state: ItemState, need: ItemNeed
+    ) -> bool:
+        """Tell whether the rest of a run should be made on another server."""
+        if state.moves >= MOST_MOVES:
+            return False
+        return self.placement.should_move(server, need)
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/batches/placement.py
@@ -0,0 +1,189 @@
+"""Queue in front of the engines: which item goes to which server, and when."""
+
+import asyncio
+import bisect
+import itertools
+import logging
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from ..edges import Clock
+from ..fleet import ListedServer, ServerChoice, ServerDirectory
+
+logger = logging.getLogger(__name__)
+
+# A server slower than this gets no item while others take work; a slower run is moved.
+SLOW = 1.8
+# The prompt of a group is read once where the group runs together: a server that has
+# it is preferred unless it is this much of a batch fuller than the emptiest one.
+GROUP_BONUS = 0.15
+GROUPS_REMEMBERED = 4_000
+# An item that waits this long is started although no server has a free slot, so that
+# it waits in the server's own queue.
+FORCE_AFTER_MS = 2_000
+PUMP_MS = 50
+
+
+@dataclass(slots=True)
+class ItemNeed:
+    """What an item asks of a server.
+
+    Parameters
+    ----------
+    due_ms : float
+        Monotonic time at which its batch is due; earlier ones go first.
+    length_hint : int
+        Estimated output tokens; within a batch long items go first, since they end
+        last.
+    min_version, exact_version : int or None
+        Weights that may generate its text.
+    group : str
+        Items with the same prompt.
+    avoid : str or None
+        Server that it was moved away from.
+    """
+
+    service: str
+    model: str
+    due_ms: float
+    length_hint: int = 0
+    min_version: int = 0
+    exact_version: int | None = None
+    group: str = ""
+    avoid: str | None = None
+
+
+@dataclass(slots=True)
+class Waiter:
+    """An item that waits for a server."""
+
+    order: tuple[float, int, int]
+    need: ItemNeed
+    since_ms: float
+    granted: asyncio.Future[ListedServer] = field(
+        default_factory=lambda: asyncio.get_running_loop().create_future()
+    )
+
+
+class ItemPlacement:
+    """Grants servers to items in order of urgency.
+
+    Parameters
+    ----------
+    directory : ServerDirectory
+        Servers.
+    choice : ServerChoice
+        Costs of servers.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(
+        self, directory: ServerDirectory, choice: ServerChoice, clock: Clock
+    ) -> None:
+        self.directory = directory
+        self.choice = choice
+        self.clock = clock
+        self.waiters: list[Waiter] = []
+        self.numbers = itertools.count()
+        self.group_servers: OrderedDict[str, str] = OrderedDict()
+        self.timer: asyncio.TimerHandle | None = None
+        directory.subscribe(self.pump)
+
+    async def acquire(self, need: ItemNeed) -> ListedServer:
+        """Wait for a server; `release` must follow."""
+        order = (need.due_ms, -need.length_hint, next(self.numbers))
+        waiter = Waiter(order, need, self.clock.monotonic_ms())
+        bisect.insort(self.waiters, waiter, key=lambda w: w.order)
+        self.pump()
+        try:
+            return await waiter.granted
+        except asyncio.CancelledError:
+            if waiter.granted.done() and not waiter.granted.cancelled():
+                self.release(waiter.granted.result())
+            elif waiter in self.waiters:
+                self.waiters.remove(waiter)
+            raise
+
+    def release(self, server: ListedServer) -> None:
+        """Give a server back."""
+        condition = self.directory.condition(server.name)
+        condition.own = max(0, condition.own - 1)
+        self.pump()
+
+    def pump(self) -> None:
+        """Grant servers to waiting items in their order."""
+        now = self.clock.monotonic_ms()
+        left: list[Waiter] = []
+        for waiter in self.waiters:
+            if waiter.granted.cancelled():
+                continue
+            forced = now - waiter.since_ms > FORCE_AFTER_MS
+            server = self.choose(waiter.need, forced)
+            if server is None:
+                left.append(waiter)
+                continue
+            self.directory.condition(server.name).own += 1
+            if waiter.need.group:
+                self.remember_group(waiter.need.group, server.name)
+            waiter.granted.set_result(server)
+        self.waiters = left
+        if left and self.timer is None:
+            loop = asyncio.get_running_loop()
+            self.timer = loop.call_later(PUMP_MS / 1000, self.tick)
+
+    def tick(self) -> None:
+        """Try again what waits."""
+        self.timer = None
+        self.pump()
+
+    def remember_group(self, group: str, server: str) -> None:
+        """Note where a group's prompt was read."""
+        self.group_servers[group] = server
+        self.group_servers.move_to_end(group)
+        if len(self.group_servers) > GROUPS_REMEMBERED:
+            self.group_servers.popitem(last=False)
+
+    def fits(self, server: ListedServer, need: ItemNeed) -> bool:
+        """Tell whether a server has weights that may generate the item."""
+        if not need.model:
+            return True
+        version = self.directory.version_of(server, need.model)
+        if need.exact_version is not None:
+            return version == need.exact_version
+        return version >= need.min_version
+
+    def choose(self, need: ItemNeed, forced: bool = False) -> ListedServer | None:
+        """Return the cheapest server with room; when forced, also a full one."""
+        now = self.clock.monotonic_ms()
+        usual = self.choice.usual_gap_ms(need.service)
+        best: ListedServer | None = None
+        best_cost = float("inf")
+        for server in self.directory.ready(need.service):
+            condition = self.directory.condition(server.name)
+            if not self.fits(server, need):
+                continue
+            if not forced:
+                if server.name == need.avoid or condition.rests(now):
+                    continue
+                if condition.refused_until_ms.get(need.model, 0) > now:
+                    continue
+                if condition.load(now) >= server.slots:
+                    continue
+                if condition.slowness(usual, now) > SLOW:
+                    continue
+            cost = self.choice.engine_cost(server, usual)
+            if need.group and self.group_servers.get(need.group) == server.name:
+                cost -= GROUP_BONUS
+            if cost < best_cost:
+                best, best_cost = server, cost
+        return best
+
+    def should_move(self, server: ListedServer, need: ItemNeed) -> bool:
+        """Tell whether a run on a slow server would end sooner on another one."""
+        now = self.clock.monotonic_ms()
+        usual = self.choice.usual_gap_ms(need.service)
+        if self.directory.condition(server.name).slowness(usual, now) <= SLOW:
+            return False
+        other = self.choose(need)
+        return other is not None and other.name != server.name
--- a/packages/ebonylb/src/ebonylb/cli.py
+++ b/packages/ebonylb/src/ebonylb/cli.py
@@ -8,7 +8,7 @@
 import uvloop
 from result import Err
 
-from .service import run_service
+from .service.run import run_service
 from .settings import FileError, Settings, load_settings
 from .telemetry import configure_logs
 
--- a/packages/ebonylb/src/ebonylb/edges/clock.py
+++ b/packages/ebonylb/src/ebonylb/edges/clock.py
@@ -17,3 +17,7 @@
     @abstractmethod
     async def sleep_ms(self, duration_ms: float) -> None:
         """Wait for a duration in milliseconds."""
+
+    def boot_ms(self) -> float:
+        """Return a monotonic time that also counts suspension, in milliseconds."""
+        return self.monotonic_ms()
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/fleet/condition.py
@@ -0,0 +1,116 @@
+"""What this entry VM has observed of one backend server."""
+
+from dataclasses import dataclass, field
+
+from ..edges.server_port import ServerLoad
+
+# Load that other entry VMs cause is known from answers only and is forgotten at this
+# rate; an engine's item lasts about a second.
+REPORT_LIFE_MS = 1_500
+# A server that failed is tried again after this, doubled with each further failure.
+FIRST_REST_MS = 250
+LONGEST_REST_MS = 4_000
+# Weight of the newest observation in the moving averages.
+GAP_WEIGHT = 0.25
+DURATION_WEIGHT = 0.2
+FAILURE_WEIGHT = 0.15
+# An observed slowness counts for this long and then fades, so that a server that has
+# recovered gets work again.
+SLOWNESS_LIFE_MS = 2_500
+# Share of failed requests fades with this half-life.
+FAILURE_HALF_LIFE_MS = 4_000
+
+
+@dataclass(slots=True)
+class ServerCondition:
+    """Load, speed and failures of one incarnation of a server.
+
+    Attributes
+    ----------
+    own : int
+        Requests of this entry VM in progress there.
+    others : float
+        Requests of other entry VMs at the time of the last report.
+    gap_ms : float or None
+        Average time between stream events.
+    duration_ms : float or None
+        Average duration of a plain request.
+    failure_share : float
+        Recent share of failed requests, from 0 to 1.
+    resting_until_ms : float
+        No new work before, unless there is no other server.
+    versions : dict of str to int
+        Weight versions seen in answers or caused by own orders.
+    """
+
+    own: int = 0
+    others: float = 0.0
+    reported_ms: float = -1e12
+    gap_ms: float | None = None
+    gap_seen_ms: float = -1e12
+    duration_ms: float | None = None
+    failure_share: float = 0.0
+    failure_seen_ms: float = 0.0
+    failures_in_row: int = 0
+    resting_until_ms: float = -1e12
+    refused_until_ms: dict[str, float] = field(default_factory=dict)
+    versions: dict[str, int] = field(default_factory=dict)
+
+    def load(self, now_ms: float) -> float:
+        """Return the estimated number of requests in progress there."""
+        age = max(0.0, now_ms - self.reported_ms)
+        return self.own + self.others * max(0.0, 1.0 - age / REPORT_LIFE_MS)
+
+    def note_load(self, load: ServerLoad, now_ms: float) -> None:
+        """Take over a reported load; what is not ours belongs to other entry VMs."""
+        self.others = max(0.0, load.running + load.waiting - self.own)
+        self.reported_ms = now_ms
+
+    def note_gap(self, gap_ms: float, now_ms: float) -> None:
+        """Take over the time between two events of a stream."""
+        if self.gap_ms is None or now_ms - self.gap_seen_ms > SLOWNESS_LIFE_MS:
+            self.gap_ms = gap_ms
+        else:
+            self.gap_ms += GAP_WEIGHT * (gap_ms - self.gap_ms)
+        self.gap_seen_ms = now_ms
+
+    def note_success(self, now_ms: float, duration_ms: float | None = None) -> None:
+        """Take over a whole answer."""
+        self.failures_in_row = 0
+        self.resting_until_ms = -1e12
+        self.move_failure_share(0.0, now_ms)
+        if duration_ms is not None:
+            known = self.duration_ms
+            self.duration_ms = (
+                duration_ms
+                if known is None
+                else known + DURATION_WEIGHT * (duration_ms - known)
+            )
+
+    def note_failure(self, now_ms: float) -> None:
+        """Take over a failure; the server rests for a while that doubles."""
+        rest = min(LONGEST_REST_MS, FIRST_REST_MS * 2**self.failures_in_row)
+        self.failures_in_row = min(self.failures_in_row + 1, 8)
+        self.resting_until_ms = now_ms + rest
+        self.move_failure_share(1.0, now_ms)
+
+    def move_failure_share(self, outcome: float, now_ms: float) -> None:
+        """Move the average of failures towards one outcome."""
+        faded = self.faded_failure_share(now_ms)
+        self.failure_share = faded + FAILURE_WEIGHT * (outcome - faded)
+        self.failure_seen_ms = now_ms
+
+    def faded_failure_share(self, now_ms: float) -> float:
+        """Return the share of failures, faded by its age."""
+        age = max(0.0, now_ms - self.failure_seen_ms)
+        return self.failure_share * 0.5 ** (age / FAILURE_HALF_LIFE_MS)
+
+    def slowness(self, usual_gap_ms: float, now_ms: float) -> float:
+        """Return the gap relative to the usual one; 1 when nothing recent is known."""
+        if self.gap_ms is None or now_ms - self.gap_seen_ms > SLOWNESS_LIFE_MS:
+            return 1.0
+        return max(1.0, self.gap_ms / usual_gap_ms)
+
+    def rests(self, now_ms: float) -> bool:
+        """Tell whether the server should get no work now."""
+        return now_ms < self.resting_until_ms
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
@@ -0,0 +1,372 @@
+"""Decides for each single request which servers it is sent to, and when it ends."""
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+from result import Err
+
+from ..edges import Clock, Metrics
+from ..edges.server_port import ServerPort
+from ..fleet import ListedServer, ServerChoice, ServerDirectory
+from ..outcomes import Outcome, StepError
+from ..routes import Route, RouteKind, RouteTable, choose_target
+from .attempt import AttemptEnd, Fate, send_once
+from .messages import CallerAnswer, CallerRequest, CallerStream, refuse
+from .streams import relay_stream
+from .strikes import CrashStrikes, request_fingerprint
+
+logger = logging.getLogger(__name__)
+
+# A second copy starts when the answer is later than this share of the target latency;
+# the copy then still has time to be on target.
+HEDGE_SHARE = 0.42
+# Sendings that a server refused do not run and do not count as attempts, up to here.
+MOST_REFUSED_SENDINGS = 6
+# Pause before a request tries a service again whose servers were all full.
+FULL_PAUSE_MS = 30.0
+# Time before the end of the deadline at which an answer still reaches the caller.
+RETURN_MARGIN_MS = 15.0
+RETRY_AFTER_MS = 300  # a server's queue moves on within about this time
+NO_SERVER_RETRY_MS = 1_000
+# Time after which an entry VM that has no configuration yet is worth asking again.
+STARTING_RETRY_MS = 500
+
+
+@dataclass(slots=True)
+class Course:
+    """State of one request on its way.
+
+    Parameters
+    ----------
+    ends_ms : float
+        Monotonic time at which its final answer is due.
+    """
+
+    request: CallerRequest
+    route: Route
+    service: str
+    ends_ms: float
+    fingerprint: str
+    tried: set[str] = field(default_factory=set)
+    runs: int = 0
+    refused: int = 0
+    causes: list[str] = field(default_factory=list)
+    sent: list[str] = field(default_factory=list)
+
+
+class Forwarder:
+    """Sends requests to servers and returns one final answer for each.
+
+    Parameters
+    ----------
+    routes : RouteTable
+        Configuration in force.
+    directory : ServerDirectory
+        Servers.
+    choice : ServerChoice
+        Ranking of servers.
+    port : ServerPort
+        Connections to servers.
+    strikes : CrashStrikes
+        Requests that crash servers.
+    clock : Clock
+        Source of time.
+    metrics : Metrics
+        Counters.
+    """
+
+    def __init__(
+        self,
+        routes: RouteTable,
+        directory: ServerDirectory,
+        choice: ServerChoice,
+        port: ServerPort,
+        strikes: CrashStrikes,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self.routes = routes
+        self.directory = directory
+        self.choice = choice
+        self.port = port
+        self.strikes = strikes
+        self.clock = clock
+        self.metrics = metrics
+
+    def find_route(self, request: CallerRequest) -> Route | CallerAnswer:
+        """Return the route of a request, or the refusal when there is none."""
+        if self.routes.configuration is None:
+            return refuse(
+                Outcome.NOT_RUN,
+                "not_ready",
+                "this entry VM has no configuration yet",
+                STARTING_RETRY_MS,
+            )
+        route = self.routes.find(request.host, request.path)
+        if route is None:
+            return refuse(
+                Outcome.NOT_RUN, "no_route", "no route has this host and path"
+            )
+        return route
+
+    async def serve(
+        self, request: CallerRequest, route: Route
+    ) -> CallerAnswer | CallerStream:
+        """Return the final answer of a request."""
+        limit = route.timeout_ms
+        if request.deadline_ms is not None:
+            limit = min(limit, request.deadline_ms)
+        course = Course(
+            request,
+            route,
+            choose_target(route, request.request_id).service,
+            request.received_ms + limit - RETURN_MARGIN_MS,
+            request_fingerprint(
+                request.method, request.host, request.target, request.body
+            ),
+        )
+        if self.strikes.is_given_up(course.fingerprint):
+            answer = refuse(
+                Outcome.GIVEN_UP, "crashes_servers", "servers crashed while running it"
+            )
+        else:
+            answer = await self.run(course)
+        self.log_end(course, answer)
+        return answer
+
+    async def run(self, course: Course) -> CallerAnswer | CallerStream:
+        """Run a request by the kind of its route."""
+        remaining = (course.ends_ms - self.clock.monotonic_ms()) / 1000
+        try:
+            async with asyncio.timeout(max(0.0, remaining)):
+                if course.route.kind is RouteKind.STREAMING:
+                    return await self.open_stream(course)
+                if course.route.kind is RouteKind.IDEMPOTENT:
+                    return await self.run_repeatable(course)
+                return await self.run_once(course)
+        except TimeoutError:
+            outcome = Outcome.MAY_HAVE_RUN if course.runs else Outcome.NOT_RUN
+            return refuse(
+                outcome, "timeout", "the time limit was reached", RETRY_AFTER_MS
+            )
+
+    def remaining_ms(self, course: Course) -> float:
+        """Return the time left for a server."""
+        return course.ends_ms - self.clock.monotonic_ms()
+
+    def pick(self, course: Course) -> ListedServer | None:
+        """Return the best server, an untried one if there is any."""
+        server = self.choice.choose_plain(course.service, course.tried)
+        return server or self.choice.choose_plain(course.service)
+
+    async def attempt(self, course: Course, server: ListedServer) -> AttemptEnd:
+        """Send a request once."""
+        course.tried.add(server.name)
+        course.sent.append(server.name)
+        end = await send_once(
+            self.port,
+            self.directory,
+            self.clock,
+            server,
+            course.request,
+            self.remaining_ms(course),
+        )
+        if end.cause:
+            course.causes.append(f"{server.name}: {end.cause}")
+        if end.lost_connection and not await self.port.reachable(server.target):
+            self.strikes.strike(
+                course.fingerprint, f"{server.name}.{server.started_ms}"
+            )
+        return end
+
+    async def run_repeatable(self, course: Course) -> CallerAnswer:
+        """Send an idempotent request until one server answers well.
+
+        A copy goes to another server when the first one takes long.
+        """
+        hedge_at = (
+            self.clock.monotonic_ms() + course.route.target_latency_ms * HEDGE_SHARE
+        )
+        running: set[asyncio.Task[AttemptEnd]] = set()
+        last: CallerAnswer | None = None
+        try:
+            while True:
+                if not running and (refusal := await self.start_copy(course, running)):
+                    return last or refusal
+                wait_s = (hedge_at - self.clock.monotonic_ms()) / 1000
+                may_copy = (
+                    len(running) == 1
+                    and course.runs < course.route.attempts
+                    and not self.strikes.is_suspect(course.fingerprint)
+                )
+                done, _ = await asyncio.wait(
+                    running,
+                    timeout=max(0.0, wait_s) if may_copy else None,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if not done:
+                    self.metrics.incr("forward.copies")
+                    await self.start_copy(course, running)
+                    hedge_at = float("inf")
+                for task in done:
+                    running.discard(task)
+                    answer = self.judge(course, task.result())
+                    if answer is not None and answer.status < 500:
+                        return answer
+                    last = answer or last
+        finally:
+            for task in running:
+                task.cancel()
+
+    def judge(self, course: Course, end: AttemptEnd) -> CallerAnswer | None:
+        """Count an attempt that ended and return its answer, if it has one."""
+        if end.fate is Fate.NOT_RUN:
+            course.runs -= 1
+            course.refused += 1
+        return end.answer
+
+    async def start_copy(
+        self, course: Course, running: set[asyncio.Task[AttemptEnd]]
+    ) -> CallerAnswer | None:
+        """Start an attempt; return the refusal when there can be none."""
+        if self.strikes.is_given_up(course.fingerprint):
+            return refuse(
+                Outcome.GIVEN_UP, "crashes_servers", "servers crashed while running it"
+            )
+        if course.runs >= course.route.attempts:
+            return refuse(
+                Outcome.MAY_HAVE_RUN, "attempts_used", "no server gave a whole answer"
+            )
+        if course.refused >= MOST_REFUSED_SENDINGS:
+            return self.refuse_full(course)
+        server = self.pick(course)
+        if server is None:
+            return self.refuse_without_server(course)
+        if course.refused and course.refused % len(course.tried) == 0:
+            await self.clock.sleep_ms(FULL_PAUSE_MS)
+        course.runs += 1
+        running.add(asyncio.create_task(self.attempt(course, server)))
+        return None
+
+    def refuse_full(self, course: Course) -> CallerAnswer:
+        """Return the refusal of a request that every server was too full for."""
+        outcome = Outcome.MAY_HAVE_RUN if course.runs else Outcome.NOT_RUN
+        return refuse(outcome, "overloaded", "all servers are full", RETRY_AFTER_MS)
+
+    def refuse_without_server(self, course: Course) -> CallerAnswer:
+        """Return the refusal of a request that no server can run now."""
+        outcome = Outcome.MAY_HAVE_RUN if course.runs else Outcome.NOT_RUN
+        return refuse(
+            outcome, "no_backend_server", "no server runs this", NO_SERVER_RETRY_MS
+        )
+
+    async def run_once(self, course: Course) -> CallerAnswer:
+        """Send a non-idempotent request; again only if it surely did not run."""
+        while True:
+            if course.refused >= MOST_REFUSED_SENDINGS:
+                return self.refuse_full(course)
+            server = self.pick(course)
+            if server is None:
+                return self.refuse_without_server(course)
+            course.runs += 1
+            end = await self.attempt(course, server)
+            if end.fate is Fate.ANSWERED:
+                return end.answer
+            if end.fate is Fate.BROKEN:
+                return refuse(
+                    Outcome.MAY_HAVE_RUN,
+                    "answer_lost",
+                    "the server gave no whole answer",
+                )
+            course.runs -= 1
+            course.refused += 1
+
+    async def open_stream(self, course: Course) -> CallerAnswer | CallerStream:
+        """Open a stream; only until its head arrives the time limit applies."""
+        while True:
+            if course.refused >= MOST_REFUSED_SENDINGS:
+                return self.refuse_full(course)
+            server = self.pick(course)
+            if server is None:
+                return self.refuse_without_server(course)
+            course.tried.add(server.name)
+            course.sent.append(server.name)
+            course.runs += 1
+            opened = await self.port.open(
+                server.target,
+                course.request.for_server(
+                    self.remaining_ms(course), course.request.resume_after
+                ),
+            )
+            if isinstance(opened, Err):
+                error: StepError = opened.err_value
+                course.causes.append(str(error))
+                self.directory.condition(server.name).note_failure(
+                    self.clock.monotonic_ms()
+                )
+                repeatable = course.route.resumable
+                if error.may_have_run and not (
+                    repeatable and course.runs < course.route.attempts
+                ):
+                    return refuse(
+                        Outcome.MAY_HAVE_RUN, "answer_lost", "the stream did not begin"
+                    )
+                if not error.may_have_run:
+                    course.runs -= 1
+                    course.refused += 1
+                continue
+            answer = opened.ok_value
+            head = answer.head
+            if head.not_run:
+                answer.close()
+                course.runs -= 1
+                course.refused += 1
+                continue
+            if head.status >= 300 or not head.sealed:
+                try:
+                    body = await answer.body()
+                except StepError as error:
+                    course.causes.append(str(error))
+                    return refuse(
+                        Outcome.MAY_HAVE_RUN, "answer_lost", "the answer ended early"
+                    )
+                finally:
+                    answer.close()
+                if head.status < 300:
+                    return refuse(
+                        Outcome.MAY_HAVE_RUN, "answer_lost", "answer without seal"
+                    )
+                return CallerAnswer(head.status, head.headers, body)
+            chunks = self.pass_on(course, server, answer)
+            return CallerStream(head.status, head.headers, chunks)
+
+    async def pass_on(
+        self, course: Course, server: ListedServer, answer
+    ) -> AsyncIterator[bytes]:
+        """Yield the events of a stream, continued on another server if need be."""
+        async for chunk in relay_stream(self, course, server, answer):
+            yield chunk
+
+    def log_end(self, course: Course, answer: CallerAnswer | CallerStream) -> None:
+        """Write the one line that explains the answer of a request."""
+        refusal = getattr(answer, "refusal", None)
+        elapsed = self.clock.monotonic_ms() - course.request.received_ms
+        self.metrics.incr(f"forward.status.{answer.status}")
+        self.metrics.timing_ms("forward.duration", elapsed)
+        logger.info(
+            "request ended",
+            extra={
+                "request_id": course.request.request_id,
+                "route": course.route.name,
+                "configuration": self.routes.version,
+                "service": course.service,
+                "status": answer.status,
+                "reason": refusal.reason if refusal else None,
+                "servers": course.sent,
+                "causes": course.causes,
+                "elapsed_ms": round(elapsed, 1),
+                "left_ms": round(course.ends_ms - self.clock.monotonic_ms()),
+            },
+        )
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/platform/batch_wire.py
@@ -0,0 +1,92 @@
+"""Batches as the platform spells them."""
+
+import base64
+import binascii
+
+import msgspec
+from multidict import CIMultiDict
+
+from ..batches import Batch, BatchHeader, BatchItem, ResultsPage
+from . import names
+
+
+class WireItem(msgspec.Struct):
+    """Item of a submission; `Tokens` is the sum of prompt and most output tokens."""
+
+    Id: str
+    Path: str
+    Headers: dict[str, str] = {}
+    Body: str = ""
+    Tokens: int = 0
+    Group: str = ""
+
+
+class WireBatch(msgspec.Struct):
+    """Submission; `MinVersion` is the oldest version that may generate tokens."""
+
+    Items: list[WireItem]
+    Step: int = -1
+    Model: str = ""
+    MinVersion: int = 0
+    TargetGroups: int = 0
+
+
+def length_hint(headers: CIMultiDict[str]) -> int:
+    """Return the estimated output tokens; 0 when there is no estimate."""
+    text = headers.get(names.LENGTH_HINT, "")
+    return int(text) if text.isdigit() else 0
+
+
+def decode_item(wire: WireItem, host: str) -> BatchItem:
+    """Return an item; its headers get the route's host."""
+    headers = CIMultiDict(wire.Headers)
+    headers["Host"] = host
+    return BatchItem(
+        item_id=wire.Id,
+        target=wire.Path,
+        headers=tuple((str(name), value) for name, value in headers.items()),
+        body=base64.b64decode(wire.Body, validate=True),
+        model=headers.get(names.MODEL, ""),
+        group=wire.Group,
+        tokens=wire.Tokens,
+        length_hint=length_hint(headers),
+    )
+
+
+def decode_batch(
+    body: bytes, batch_id: str, route: str, host: str, now_unix_ms: int
+) -> Batch | None:
+    """Return a submitted batch; None when the body is not one."""
+    try:
+        wire = msgspec.json.decode(body, type=WireBatch)
+        items = tuple(decode_item(item, host) for item in wire.Items)
+    except (msgspec.MsgspecError, binascii.Error):
+        return None
+    header = BatchHeader(
+        batch_id=batch_id,
+        route=route,
+        total=len(items),
+        submitted_unix_ms=now_unix_ms,
+        model=wire.Model,
+        step=wire.Step,
+        min_version=wire.MinVersion,
+        groups_wanted=wire.TargetGroups,
+    )
+    return Batch(header, items)
+
+
+def encode_results(page: ResultsPage) -> bytes:
+    """Return the body of a reading of results."""
+    results = []
+    for result in page.results:
+        wire = {
+            "Id": result.item_id,
+            "State": "succeeded" if result.succeeded else "errored",
+            "Text": result.text,
+        }
+        if result.succeeded:
+            wire["Versions"] = list(result.versions)
+        results.append(wire)
+    return msgspec.json.encode(
+        {"Total": page.total, "Next": page.next_position, "Results": results}
+    )
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/platform/event_stream.py
@@ -0,0 +1,82 @@
+"""Decoder of event streams of model servers."""
+
+from ..edges.server_port import StreamEvent
+from ..outcomes import StepError
+from . import names
+
+VERSION_FIELD = names.WEIGHT_VERSION.lower()
+# A single event larger than this is not of these servers.
+LONGEST_EVENT_BYTES = 1_000_000
+
+
+def find_event_end(buffer: bytes) -> int:
+    """Return the length of the first whole event with its blank line, or 0."""
+    plain = buffer.find(b"\n\n")
+    carriage = buffer.find(b"\r\n\r\n")
+    if carriage >= 0 and (plain < 0 or carriage < plain):
+        return carriage + 4
+    return plain + 2 if plain >= 0 else 0
+
+
+def decode_event(block: bytes, step: str, peer: str) -> StreamEvent | None:
+    """Return one event; None for a comment.
+
+    Raises
+    ------
+    StepError
+        The block has no number, or is not text.
+    """
+    number: int | None = None
+    version: int | None = None
+    data: list[str] = []
+    try:
+        lines = block.decode().splitlines()
+        for line in lines:
+            field, _, value = line.partition(":")
+            value = value.removeprefix(" ")
+            if field == "id":
+                number = int(value)
+            elif field == "data":
+                data.append(value)
+            elif field.lower() == VERSION_FIELD:
+                version = int(value)
+    except ValueError as error:
+        raise StepError(step, peer, f"unreadable event: {error}") from error
+    if number is None:
+        if data:
+            raise StepError(step, peer, "event without a number")
+        return None
+    return StreamEvent(number, "\n".join(data), version)
+
+
+class EventDecoder:
+    """Splits received bytes into whole events.
+
+    Parameters
+    ----------
+    step, peer : str
+        For errors.
+    """
+
+    def __init__(self, step: str, peer: str) -> None:
+        self.step = step
+        self.peer = peer
+        self.buffer = b""
+
+    def feed(self, chunk: bytes) -> list[tuple[StreamEvent, bytes]]:
+        """Add bytes and return the events completed by them, with their bytes."""
+        self.buffer += chunk
+        if len(self.buffer) > LONGEST_EVENT_BYTES:
+            raise StepError(self.step, self.peer, "event without an end")
+        events = []
+        while end := find_event_end(self.buffer):
+            block, self.buffer = self.buffer[:end], self.buffer[end:]
+            event = decode_event(block, self.step, self.peer)
+            if event is not None:
+                events.append((event, block))
+        return events
+
+    def finish(self) -> None:
+        """Check that nothing of an unfinished event is left at the regular end."""
+        if self.buffer.strip():
+            raise StepError(self.step, self.peer, "stream ended within an event")
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/platform/ingress.py
@@ -0,0 +1,255 @@
+"""Interface to callers and to the balancer, over HTTP."""
+
+import asyncio
+import logging
+from typing import Any
+from urllib.parse import unquote
+
+import msgspec
+from aiohttp import web
+from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
+from result import Err
+
+from ..batches import BatchDuty
+from ..edges import Clock
+from ..forwarding import CallerAnswer, CallerRequest, CallerStream, Forwarder
+from ..forwarding.messages import refuse
+from ..outcomes import Outcome, Refusal, StepError
+from ..routes import RouteKind
+from ..service.readiness import Readiness
+from . import names
+from .batch_wire import decode_batch, encode_results
+
+logger = logging.getLogger(__name__)
+
+# Longest header line that is read; the configuration's own limit is at most this.
+MOST_HEADER_BYTES = 16_384
+# Largest body that is read; the configuration's own limit is at most this.
+MOST_BODY_BYTES = 33_554_432
+LONGEST_WAIT_MS = 1_000.0
+MALFORMED = Refusal(Outcome.NOT_RUN, "malformed", "the body is not a batch")
+STATUS_OF_REASON = {"no_batch": 404, "malformed": 400, "no_route": 404}
+
+
+def make_request(
+    message: Any, payload: Any, protocol: Any, writer: Any, task: Any
+) -> web.BaseRequest:
+    """Build a request that allows the agreed body size."""
+    loop = asyncio.get_running_loop()
+    return web.BaseRequest(
+        message,
+        payload,
+        protocol,
+        writer,
+        task,
+        loop,
+        client_max_size=MOST_BODY_BYTES,
+    )
+
+
+def milliseconds(text: str | None) -> float | None:
+    """Return a header's number; None when it is missing or unreadable."""
+    try:
+        return float(text) if text else None
+    except ValueError:
+        return None
+
+
+def retry_after(refusal: Refusal) -> dict[str, str]:
+    """Return the header that says when to come back."""
+    if refusal.retry_after_ms is None:
+        return {}
+    return {names.RETRY_AFTER: f"{refusal.retry_after_ms / 1000:g}"}
+
+
+class Ingress:
+    """Handlers of the callers' and the balancer's address."""
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        batches: BatchDuty,
+        readiness: Readiness,
+        clock: Clock,
+    ) -> None:
+        self.forwarder = forwarder
+        self.batches = batches
+        self.readiness = readiness
+        self.clock = clock
+
+    async def handle_ready(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer the balancer."""
+        if request.path != names.READY_PATH:
+            return web.Response(status=404)
+        return web.Response(status=200 if self.readiness.is_ready() else 503)
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer a caller."""
+        received_ms = self.clock.monotonic_ms()
+        self.readiness.in_progress += 1
+        try:
+            path = request.raw_path.partition("?")[0]
+            if path.startswith(names.BATCH_PATH):
+                return await self.handle_batch(request, path)
+            if path.startswith(names.ITEM_PATH):
+                return await self.handle_item(request, path)
+            return await self.handle_request(request, path, received_ms)
+        finally:
+            self.readiness.in_progress -= 1
+
+    def finish(self, response: web.Response) -> web.Response:
+        """Ask the caller to open a new connection elsewhere when leaving."""
+        if self.readiness.leaving:
+            response.force_close()
+        return response
+
+    def refusal(
+        self, refusal: Refusal, request_id: str, status: int | None = None
+    ) -> web.Response:
+        """Return a refusal in full: outcome, reason, time to come back and id."""
+        if status is None:
+            status = STATUS_OF_REASON.get(refusal.reason)
+        if status is None:
+            status = 503 if refusal.outcome is Outcome.NOT_RUN else 502
+        body = {
+            "outcome": refusal.outcome,
+            "reason": refusal.reason,
+            "message": refusal.message,
+            "retry_after_ms": refusal.retry_after_ms,
+            "request_id": request_id,
+        }
+        headers = retry_after(refusal) | {names.REQUEST_ID: request_id}
+        return self.finish(
+            web.Response(
+                status=status,
+                body=msgspec.json.encode(body),
+                content_type="application/json",
+                headers=headers,
+            )
+        )
+
+    async def handle_request(
+        self, request: web.BaseRequest, path: str, received_ms: float
+    ) -> web.StreamResponse:
+        """Forward a single request, or take a batch in."""
+        request_id = request.headers.get(names.REQUEST_ID, "")
+        last_event = request.headers.get(names.LAST_EVENT, "")
+        try:
+            body = await request.read()
+        except HTTPRequestEntityTooLarge:
+            return web.Response(status=413)
+        message = CallerRequest(
+            request_id=request_id,
+            method=request.method,
+            host=request.headers.get("Host", ""),
+            path=path,
+            target=request.raw_path,
+            headers=tuple((str(k), v) for k, v in request.headers.items()),
+            body=body,
+            received_ms=received_ms,
+            deadline_ms=milliseconds(request.headers.get(names.DEADLINE)),
+            resume_after=int(last_event) if last_event.isdigit() else None,
+        )
+        route = self.forwarder.find_route(message)
+        if isinstance(route, CallerAnswer):
+            return self.refusal(route.refusal, request_id, route.status)
+        if route.kind is RouteKind.BATCH:
+            return await self.take_batch(message, route.name)
+        answer = await self.forwarder.serve(message, route)
+        if isinstance(answer, CallerStream):
+            return await self.pass_stream(request, answer)
+        if answer.refusal is not None:
+            return self.refusal(answer.refusal, request_id, answer.status)
+        response = web.Response(status=answer.status, body=answer.body)
+        response.headers.clear()
+        for name, value in answer.headers:
+            response.headers.add(name, value)
+        response.headers["Content-Length"] = str(len(answer.body))
+        return self.finish(response)
+
+    async def pass_stream(
+        self, request: web.BaseRequest, stream: CallerStream
+    ) -> web.StreamResponse:
+        """Pass a stream on; a broken one ends without its closing chunk."""
+        response = web.StreamResponse(status=stream.status)
+        for name, value in stream.headers:
+            response.headers.add(name, value)
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        try:
+            async for chunk in stream.chunks:
+                await response.write(chunk)
+        except StepError as error:
+            logger.info("stream ended early", extra={"cause": str(error)})
+            if request.transport is not None:
+                request.transport.abort()
+            raise asyncio.CancelledError from error
+        await response.write_eof()
+        return response
+
+    async def take_batch(self, message: CallerRequest, route: str) -> web.Response:
+        """Take a batch in."""
+        if message.method != "POST":
+            return web.Response(status=405)
+        batch = decode_batch(
+            message.body,
+            message.request_id,
+            route,
+            message.host,
+            self.clock.wall_ms(),
+        )
+        if batch is None or not message.request_id:
+            return self.refusal(MALFORMED, message.request_id)
+        refusal = await self.batches.submit(batch)
+        if refusal is not None:
+            return self.refusal(refusal, message.request_id)
+        return self.finish(web.Response(status=202))
+
+    async def handle_batch(
+        self, request: web.BaseRequest, path: str
+    ) -> web.StreamResponse:
+        """Read results of a batch, or end it."""
+        batch_id = unquote(path.removeprefix(names.BATCH_PATH))
+        if not self.readiness.has_configuration():
+            return self.refuse_early(batch_id)
+        if request.method == "DELETE":
+            refusal = await self.batches.end(batch_id)
+            if refusal is not None:
+                return self.refusal(refusal, batch_id)
+            return self.finish(web.Response(status=200))
+        after = request.query.get("After", "0")
+        if not after.isdigit():
+            return web.Response(status=400)
+        wait_ms = milliseconds(request.headers.get(names.WAIT)) or 0.0
+        if self.readiness.leaving:
+            wait_ms = 0.0
+        page = await self.batches.read(
+            batch_id, int(after), min(wait_ms, LONGEST_WAIT_MS)
+        )
+        if isinstance(page, Err):
+            return self.refusal(page.err_value, batch_id)
+        return self.finish(
+            web.Response(
+                status=200,
+                body=encode_results(page.ok_value),
+                content_type="application/json",
+            )
+        )
+
+    async def handle_item(
+        self, request: web.BaseRequest, path: str
+    ) -> web.StreamResponse:
+        """Return the body of an item."""
+        batch_id = unquote(path.removeprefix(names.ITEM_PATH))
+        if not self.readiness.has_configuration():
+            return self.refuse_early(batch_id)
+        item_id = request.query.get("Id", "")
+        body = await self.batches.item_body(batch_id, item_id)
+        if isinstance(body, Err):
+            return self.refusal(body.err_value, batch_id)
+        return self.finish(web.Response(status=200, body=body.ok_value))
+
+    def refuse_early(self, batch_id: str) -> web.Response:
+        """Refuse while nothing is known of the site yet."""
+        answer = refuse(Outcome.NOT_RUN, "not_ready", "this entry VM is starting", 500)
+        return self.refusal(answer.refusal, batch_id)
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/platform/listing.py
@@ -0,0 +1,200 @@
+"""Decoding of the rows that the operator, trainers and backend servers write."""
+
+import msgspec
+
+from ..edges.row_store import StoredRow
+from ..edges.server_port import ModelVersion
+from ..fleet.model import ListedServer, ServerStage
+from ..routes.model import (
+    Configuration,
+    EngineShape,
+    Route,
+    RouteKind,
+    ServiceSpec,
+    Target,
+)
+from . import names
+
+KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAMING,
+    "rollout": RouteKind.BATCH,
+    "batch": RouteKind.BATCH,
+}
+STAGES = {"ready": ServerStage.READY, "draining": ServerStage.LEAVING}
+
+
+class WireTarget(msgspec.Struct):
+    """Part of a split route."""
+
+    Service: str
+    Weight: float = 1.0
+
+
+class WireRoute(msgspec.Struct):
+    """A route; `Backends` splits it over services."""
+
+    Name: str
+    Host: str
+    Prefix: str
+    Kind: str
+    Service: str = ""
+    Backends: list[WireTarget] = []
+    TimeoutMs: float = 10_000
+    TargetLatencyMs: float = 1_000
+    Priority: int = 0
+    Attempts: int = 1
+    RetentionS: float = 60.0
+    ResultDeadlineMs: float = 10_000
+    SingleVersion: bool = False
+    Resumable: bool = False
+
+    def decode(self) -> Route:
+        """Return the route in the project's terms."""
+        targets = tuple(Target(t.Service, t.Weight) for t in self.Backends)
+        if not targets:
+            targets = (Target(self.Service, 1.0),)
+        return Route(
+            name=self.Name,
+            host=self.Host.lower(),
+            prefix=self.Prefix,
+            kind=KINDS.get(self.Kind, RouteKind.NON_IDEMPOTENT),
+            targets=targets,
+            timeout_ms=self.TimeoutMs,
+            target_latency_ms=self.TargetLatencyMs,
+            priority=self.Priority,
+            attempts=max(1, self.Attempts),
+            retention_ms=self.RetentionS * 1_000,
+            result_deadline_ms=self.ResultDeadlineMs,
+            single_version=self.SingleVersion,
+            resumable=self.Resumable,
+        )
+
+
+class WireEngineModel(msgspec.Struct):
+    """A model of an engine service."""
+
+    Name: str
+
+
+class WireEngine(msgspec.Struct):
+    """`Stride` is the number of tokens of one stream event."""
+
+    Slots: int = 1
+    KvCapacity: int = 0
+    Stride: int = 1
+    Models: list[WireEngineModel] = []
+
+
+class WireService(msgspec.Struct):
+    """A service; only model services have an engine."""
+
+    Name: str
+    MaxConns: int = 100
+    Engine: WireEngine | None = None
+
+    def decode(self) -> ServiceSpec:
+        """Return the service in the project's terms."""
+        engine = None
+        if self.Engine is not None:
+            engine = EngineShape(
+                slots=self.Engine.Slots,
+                kv_tokens=self.Engine.KvCapacity,
+                tokens_per_event=self.Engine.Stride,
+                models=tuple(model.Name for model in self.Engine.Models),
+            )
+        return ServiceSpec(self.Name, self.MaxConns, engine)
+
+
+class WireLimits(msgspec.Struct, frozen=True):
+    """What a client may send."""
+
+    MaxBodyBytes: int = 33_554_432
+    IdleTimeoutMs: float = 15_000
+
+
+class WireConfiguration(msgspec.Struct):
+    """The operator's configuration in full."""
+
+    Version: int
+    Routes: list[WireRoute]
+    Services: list[WireService] = []
+    Limits: WireLimits = WireLimits()
+
+
+class WireServer(msgspec.Struct):
+    """Entry that a server writes; `Version` is that of its software."""
+
+    Service: str
+    Address: str
+    Zone: str
+    State: str
+    Slots: int = 1
+    ColdRemainingMs: float = 0
+    Models: list["WireModelVersion"] = []
+    born: int | None = None
+
+
+class WireModelVersion(msgspec.Struct):
+    """Weights in place."""
+
+    Name: str
+    Version: int = 0
+
+
+class WireNamedVersion(msgspec.Struct):
+    """Row in which a trainer names the newest weights."""
+
+    Model: str
+    Version: int
+
+
+def decode_configuration(value: bytes) -> Configuration:
+    """Return a configuration; raises `msgspec.MsgspecError` when unreadable."""
+    wire = msgspec.json.decode(value, type=WireConfiguration)
+    services = {service.Name: service.decode() for service in wire.Services}
+    return Configuration(
+        version=wire.Version,
+        routes=tuple(route.decode() for route in wire.Routes),
+        services=services,
+        max_body_bytes=wire.Limits.MaxBodyBytes,
+    )
+
+
+def decode_server(row: StoredRow) -> ListedServer:
+    """Return a listed server; raises `msgspec.MsgspecError` when unreadable."""
+    wire = msgspec.json.decode(row.value, type=WireServer)
+    stage = STAGES.get(wire.State)
+    if stage is None:
+        raise msgspec.ValidationError(f"unknown state {wire.State!r}")
+    host, separator, port = wire.Address.rpartition(":")
+    if not (host and separator and port.isdigit()):
+        raise msgspec.ValidationError(f"unknown address {wire.Address!r}")
+    return ListedServer(
+        name=row.at.key,
+        service=wire.Service,
+        address=wire.Address,
+        failure_domain=wire.Zone,
+        stage=stage,
+        slots=max(1, wire.Slots),
+        cold_ms=wire.ColdRemainingMs,
+        models=tuple(ModelVersion(m.Name, m.Version) for m in wire.Models),
+        started_ms=wire.born,
+    )
+
+
+def decode_named_version(row: StoredRow) -> ModelVersion:
+    """Return a named version; raises `msgspec.MsgspecError` when unreadable."""
+    wire = msgspec.json.decode(row.value, type=WireNamedVersion)
+    return ModelVersion(wire.Model, wire.Version)
+
+
+def is_configuration(row: StoredRow) -> bool:
+    """Tell whether a row of the operator's table is the configuration."""
+    return row.at.key == names.CONFIG_KEY
+
+
+def is_named_version(row: StoredRow) -> bool:
+    """Tell whether a row of the operator's table names a weight version."""
+    return row.at.key.startswith(names.VERSION_PREFIX)
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/platform/names.py
@@ -0,0 +1,53 @@
+"""Header and path names of the platform's wire."""
+
+REQUEST_ID = "Ebonylb-Request-Id"
+DEADLINE = "Ebonylb-Deadline-Ms"
+EXPECT_INSTANCE = "Ebonylb-Expect-Instance"
+EXPECT_VERSION = "Ebonylb-Expect-Version"
+SEAL = "Ebonylb-Response-Seal"
+NOT_RUN = "Ebonylb-Not-Executed"
+SERVER_LOAD = "Ebonylb-Server-Load"
+# A plain integer: the version that the answer begins with, in spite of the plural.
+WEIGHT_VERSION = "Ebonylb-Weight-Versions"
+WAIT = "Ebonylb-Wait-Ms"
+LENGTH_HINT = "Ebonylb-Length-Hint"
+TOKEN_USAGE = "Ebonylb-Token-Usage"
+MODEL = "Ebonylb-Model"
+LAST_EVENT = "Last-Event-Id"
+RETRY_AFTER = "Retry-After"
+
+READY_PATH = "/api/ready"
+BATCH_PATH = "/api/lots/"
+ITEM_PATH = "/api/items/"
+REPORT_PATH = "/api/report"
+ORDER_PATH = "/api/order"
+ROWS_TRANSACT_PATH = "/api/rows-tx"
+ROWS_READ_PATH = "/api/rows-get"
+ROWS_FEED_PATH = "/api/rows-feed"
+ROWS_PARTS_PATH = "/api/rows-parts"
+
+OPERATOR_TABLE = "op"
+CONFIG_KEY = "config"
+VERSION_PREFIX = "version/"
+SERVERS_TABLE = "servers"
+
+# Headers that concern one connection only, and those that the adapter sets itself.
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "host",
+        "expect",
+    }
+)
+SET_HERE = frozenset(
+    name.lower() for name in (DEADLINE, EXPECT_INSTANCE, EXPECT_VERSION, LAST_EVENT)
+)
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/platform/node_settings.py
@@ -0,0 +1,73 @@
+"""The platform's settings file of a process: lines of ``a.b=value``."""
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from ..service.site_settings import SiteSettings
+
+# Wire name of each bound, with the field that holds it and its factor to that unit.
+BOUNDS = {
+    "DrainMs": ("drain_ms", 1),
+    "GraceS": ("grace_ms", 1_000),
+    "LeaseMs": ("lease_ms", 1),
+    "CancelMs": ("cancel_ms", 1),
+    "SettleMs": ("settle_ms", 1),
+    "StatusS": ("result_retention_ms", 1_000),
+    "ConfigApplyMs": ("config_apply_ms", 1),
+    # Time after which a crashing request may no longer reach a server.
+    "StableWindowMs": ("stable_window_ms", 1),
+}
+
+
+def parse_lines(text: str) -> dict[str, str]:
+    """Return the keys and values of a settings file; other lines are passed over."""
+    values = {}
+    for line in text.splitlines():
+        key, separator, value = line.partition("=")
+        if separator:
+            values[key.strip()] = value.strip()
+    return values
+
+
+def read_node_settings(path: str) -> Result[SiteSettings, str]:
+    """Read and validate the settings; the error names the key and what is missing."""
+    try:
+        values = parse_lines(Path(path).read_text())
+    except OSError as error:
+        return Err(f"{path}: cannot be read: {error}")
+    bounds: dict[str, Any] = {}
+    for wire, (name, factor) in BOUNDS.items():
+        if (text := values.get(f"Bounds.{wire}")) is not None:
+            try:
+                bounds[name] = float(text) * factor
+            except ValueError:
+                return Err(f"{path}: Bounds.{wire}={text!r} is not a number")
+    required = {
+        "name": "Node",
+        "failure_domain": "Zone",
+        "region": "Region",
+        "caller_address": "Listen.Front",
+        "ready_address": "Listen.Ready",
+        "store_address": "Platform.Address",
+    }
+    fields: dict[str, Any] = {}
+    for name, wire in required.items():
+        if not values.get(wire):
+            return Err(f"{path}: {wire} is missing; the platform has to set it")
+        fields[name] = values[wire]
+    fields["regions"] = {
+        key.removeprefix("Zones."): region
+        for key, region in values.items()
+        if key.startswith("Zones.")
+    }
+    fields["metrics_port"] = int(values.get("PortRange", "0").split(",")[0] or 0)
+    if (row_bytes := values.get("Platform.RowBytes")) is not None:
+        fields["row_bytes"] = int(row_bytes)
+    fields["bounds"] = bounds
+    try:
+        return Ok(msgspec.convert(fields, SiteSettings))
+    except msgspec.ValidationError as error:
+        return Err(f"{path}: {error}")
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/platform/servers.py
@@ -0,0 +1,263 @@
+"""Requests and orders to backend servers over HTTP."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import aiohttp
+import msgspec
+from multidict import CIMultiDict
+from result import Err, Ok, Result
+from yarl import URL
+
+from ..adapters.http import NOT_SENT, describe
+from ..edges.server_port import (
+    AnswerHead,
+    ModelVersion,
+    ServerAddress,
+    ServerAnswer,
+    ServerLoad,
+    ServerPort,
+    ServerReport,
+    ServerRequest,
+    StreamEvent,
+    VersionOrder,
+)
+from ..outcomes import StepError
+from . import names
+from .event_stream import EventDecoder
+
+WRONG_SERVER = 421
+# A server in reach accepts a connection within some 30 ms, across regions too.
+CONNECT_TIMEOUT_S = 0.6
+CONTROL_TIMEOUT_S = 1.0
+USUAL_SLOWDOWN = 100  # fourth figure of the load header for an undisturbed machine
+
+
+class WireModel(msgspec.Struct):
+    """Model in a report; `Version` is that of the weights."""
+
+    Name: str
+    Version: int = 0
+
+
+class WireReport(msgspec.Struct):
+    """`Sequence` counts the orders accepted since the start."""
+
+    Busy: bool = False
+    Sequence: int = 0
+    Models: list[WireModel] = []
+
+
+def decode_load(text: str | None) -> ServerLoad | None:
+    """Read the load header; None when it is missing or unreadable."""
+    if text is None:
+        return None
+    try:
+        figures = [int(part) for part in text.split(",")]
+    except ValueError:
+        return None
+    if len(figures) < 3:
+        return None
+    slowdown = figures[3] / USUAL_SLOWDOWN if len(figures) > 3 else 1.0
+    return ServerLoad(figures[0], figures[1], figures[2], slowdown)
+
+
+def decode_head(answer: aiohttp.ClientResponse) -> AnswerHead:
+    """Return status and headers in the project's terms."""
+    headers = answer.headers
+    version = headers.get(names.WEIGHT_VERSION, "")
+    return AnswerHead(
+        status=answer.status,
+        headers=tuple(
+            (name, value)
+            for name, value in headers.items()
+            if name.lower() not in names.HOP_BY_HOP
+        ),
+        not_run=names.NOT_RUN in headers or answer.status == WRONG_SERVER,
+        wrong_server=answer.status == WRONG_SERVER,
+        sealed=names.SEAL in headers,
+        load=decode_load(headers.get(names.SERVER_LOAD)),
+        weight_version=int(version) if version.isdigit() else None,
+    )
+
+
+class HttpServerAnswer(ServerAnswer):
+    """Answer over an open connection."""
+
+    def __init__(self, answer: aiohttp.ClientResponse, peer: str) -> None:
+        self.answer = answer
+        self.peer = peer
+        self.head = decode_head(answer)
+
+    async def body(self) -> bytes:
+        """Read the whole body."""
+        try:
+            return await self.answer.read()
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise StepError("server.body", self.peer, describe(error)) from error
+
+    async def decoded(self) -> AsyncIterator[tuple[StreamEvent, bytes]]:
+        """Read events with their bytes."""
+        decoder = EventDecoder("server.stream", self.peer)
+        try:
+            async for chunk in self.answer.content.iter_any():
+                for event in decoder.feed(chunk):
+                    yield event
+        except (aiohttp.ClientError, OSError) as error:
+            raise StepError("server.stream", self.peer, describe(error)) from error
+        decoder.finish()
+
+    async def events(self) -> AsyncIterator[StreamEvent]:
+        """Read decoded events."""
+        async for event, _ in self.decoded():
+            yield event
+
+    async def raw_events(self) -> AsyncIterator[tuple[int, bytes]]:
+        """Read events to be passed on unchanged."""
+        async for event, block in self.decoded():
+            yield event.number, block
+
+    def close(self) -> None:
+        """Close the connection unless the answer was read to its end."""
+        if not self.answer.closed:
+            self.answer.close()
+
+
+class HttpServerPort(ServerPort):
+    """Backend servers over kept connections.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Owned by the caller; sets no headers of its own.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self.session = session
+
+    async def open(
+        self, server: ServerAddress, request: ServerRequest
+    ) -> Result[ServerAnswer, StepError]:
+        """Send a request; an answer with another request's id ends the connection."""
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
+        try:
+            answer = await self.session.request(
+                request.method,
+                URL(f"http://{server.address}{request.target}", encoded=True),
+                headers=self.headers(server, request),
+                data=request.body or None,
+                timeout=timeout,
+                allow_redirects=False,
+            )
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            may_have_run = not isinstance(error, NOT_SENT)
+            return Err(
+                StepError("server.open", server.name, describe(error), may_have_run)
+            )
+        echoed = answer.headers.get(names.REQUEST_ID)
+        head = decode_head(answer)
+        if echoed != request.request_id and not (head.not_run and echoed is None):
+            answer.close()
+            return Err(
+                StepError(
+                    "server.open",
+                    server.name,
+                    f"answer of request {echoed} instead of {request.request_id}",
+                )
+            )
+        return Ok(HttpServerAnswer(answer, server.name))
+
+    def headers(
+        self, server: ServerAddress, request: ServerRequest
+    ) -> CIMultiDict[str]:
+        """Return the headers of a request."""
+        headers = CIMultiDict(
+            (name, value)
+            for name, value in request.headers
+            if name.lower() not in names.SET_HERE
+            and name.lower() not in names.HOP_BY_HOP - {"host"}
+        )
+        headers[names.REQUEST_ID] = request.request_id
+        headers[names.DEADLINE] = str(max(1, int(request.deadline_ms)))
+        headers[names.EXPECT_INSTANCE] = server.name
+        if request.resume_after is not None:
+            headers[names.LAST_EVENT] = str(request.resume_after)
+        if not request.body and request.method in ("POST", "PUT"):
+            headers["Content-Length"] = "0"
+        return headers
+
+    async def report(self, server: ServerAddress) -> Result[ServerReport, StepError]:
+        """Read the state of a model server."""
+        answer = await self.control("server.report", server, "GET", names.REPORT_PATH)
+        if isinstance(answer, Err):
+            return answer
+        status, body = answer.ok_value
+        if status != 200:
+            return Err(StepError("server.report", server.name, f"HTTP status {status}"))
+        try:
+            report = msgspec.json.decode(body, type=WireReport)
+        except msgspec.MsgspecError as error:
+            return Err(StepError("server.report", server.name, str(error)))
+        models = tuple(ModelVersion(m.Name, m.Version) for m in report.Models)
+        return Ok(ServerReport(report.Busy, report.Sequence, models))
+
+    async def order(
+        self, server: ServerAddress, order: VersionOrder
+    ) -> Result[int, StepError]:
+        """Give an order."""
+        body = {
+            "Operation": "Version",
+            "Model": order.model,
+            "Version": order.version,
+            "Mode": order.mode,
+            "Holder": order.holder,
+            "Fence": order.fence,
+        }
+        if order.accepted_orders is not None:
+            body["Expected"] = order.accepted_orders
+        answer = await self.control(
+            "server.order",
+            server,
+            "POST",
+            names.ORDER_PATH,
+            data=msgspec.json.encode(body),
+        )
+        return answer if isinstance(answer, Err) else Ok(answer.ok_value[0])
+
+    async def control(
+        self,
+        step: str,
+        server: ServerAddress,
+        method: str,
+        path: str,
+        data: bytes | None = None,
+    ) -> Result[tuple[int, bytes], StepError]:
+        """Send a control call to one incarnation and read its whole answer."""
+        headers = {names.EXPECT_INSTANCE: server.name}
+        if data is not None:
+            headers["Content-Type"] = "application/json"
+        try:
+            async with self.session.request(
+                method,
+                f"http://{server.address}{path}",
+                headers=headers,
+                data=data,
+                timeout=aiohttp.ClientTimeout(
+                    total=CONTROL_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
+                ),
+            ) as answer:
+                return Ok((answer.status, await answer.read()))
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            may_have_run = not isinstance(error, NOT_SENT)
+            return Err(StepError(step, server.name, describe(error), may_have_run))
+
+    async def reachable(self, server: ServerAddress) -> bool:
+        """Tell whether the server accepts a connection."""
+        host, port = server.address.rsplit(":", 1)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/routes/table.py
@@ -0,0 +1,78 @@
+"""Route table in force on this entry VM."""
+
+import logging
+
+from xxhash import xxh64_intdigest
+
+from .model import Configuration, Route, Target
+
+logger = logging.getLogger(__name__)
+
+HASH_RANGE = float(1 << 64)
+
+
+class RouteTable:
+    """The newest configuration seen; versions only move forward."""
+
+    def __init__(self) -> None:
+        self.configuration: Configuration | None = None
+        self.by_host: dict[str, list[Route]] = {}
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 while none is known."""
+        return self.configuration.version if self.configuration else 0
+
+    def apply(self, configuration: Configuration) -> bool:
+        """Put a configuration in force; an older or equal version changes nothing."""
+        if configuration.version <= self.version:
+            return False
+        by_host: dict[str, list[Route]] = {}
+        for route in configuration.routes:
+            by_host.setdefault(route.host, []).append(route)
+        for routes in by_host.values():
+            routes.sort(key=lambda route: -len(route.prefix))
+        self.by_host = by_host
+        self.configuration = configuration
+        logger.info(
+            "configuration in force",
+            extra={
+                "version": configuration.version,
+                "routes": len(configuration.routes),
+            },
+        )
+        return True
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of a host with the longest prefix that begins the path."""
+        host = host.lower()
+        routes = self.by_host.get(host)
+        if routes is None:
+            routes = self.by_host.get(host.partition(":")[0], ())
+        for route in routes:
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def named(self, name: str) -> Route | None:
+        """Return a route by its name."""
+        if self.configuration is None:
+            return None
+        return next((r for r in self.configuration.routes if r.name == name), None)
+
+
+def choose_target(route: Route, request_id: str) -> Target:
+    """Return the part of a split route that a request belongs to.
+
+    The choice depends on the request's id only, so that every repetition of one
+    request stays with one service.
+    """
+    total = sum(target.weight for target in route.targets)
+    if len(route.targets) == 1 or total <= 0:
+        return route.targets[0]
+    point = xxh64_intdigest(request_id.encode()) / HASH_RANGE * total
+    for target in route.targets:
+        point -= target.weight
+        if point < 0:
+            return target
+    return route.targets[-1]
--- a/packages/ebonylb/src/ebonylb/service/__init__.py
+++ b/packages/ebonylb/src/ebonylb/service/__init__.py
@@ -1,6 +1,5 @@
-"""Composition of the entry VM process."""
+"""Composition of the entry VM process.
 
-from .app import EntryVmService
-from .run import run_service
-
-__all__ = ["EntryVmService", "run_service"]
+Import from its modules: the compositions need different libraries, and each process
+should load its own only.
+"""
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/service/readiness.py
@@ -0,0 +1,41 @@
+"""Whether this entry VM should get new connections."""
+
+from ..edges import Clock
+from ..routes import RouteTable
+from ..storage.follower import TableFollower
+
+# Without an answer of the store for this long, new batches are better taken elsewhere;
+# above the time of one feed call with its slack.
+STORE_SILENCE_MS = 2_500.0
+
+
+class Readiness:
+    """Answer to the balancer, and the state of leaving.
+
+    Attributes
+    ----------
+    leaving : bool
+        Set by SIGTERM.
+    in_progress : int
+        Requests of callers being answered.
+    """
+
+    def __init__(self, routes: RouteTable, clock: Clock) -> None:
+        self.routes = routes
+        self.clock = clock
+        self.followers: list[TableFollower] = []
+        self.leaving = False
+        self.in_progress = 0
+
+    def has_configuration(self) -> bool:
+        """Tell whether anything is known of the site."""
+        return self.routes.configuration is not None
+
+    def is_ready(self) -> bool:
+        """Tell whether new connections should come."""
+        if self.leaving or not self.has_configuration():
+            return False
+        return all(
+            follower.loaded.is_set() and follower.is_current(STORE_SILENCE_MS)
+            for follower in self.followers
+        )
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/service/site_main.py
@@ -0,0 +1,35 @@
+"""Program of an entry VM on the users' platform.
+
+Started as ``python -m ebonylb.service.site_main``. It is apart from the command line,
+whose libraries would add a fifth to the memory of each process.
+"""
+
+import os
+import sys
+
+import uvloop
+from result import Err
+
+from ..platform.node_settings import read_node_settings
+from ..telemetry.logs import configure_logs
+from .site import run_site
+
+SETTINGS_VARIABLE = "EBONYLB_NODE_FILE"
+DEFAULT_SETTINGS = "/etc/ebonylb/node.conf"
+EXIT_REFUSED_INPUT = 3
+
+
+def main() -> None:
+    """Run the service with the settings that the platform wrote."""
+    path = os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS)
+    loaded = read_node_settings(path)
+    if isinstance(loaded, Err):
+        print(loaded.err_value, file=sys.stderr)
+        sys.exit(EXIT_REFUSED_INPUT)
+    settings = loaded.ok_value
+    configure_logs(settings.name, "info")
+    uvloop.run(run_site(settings))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/storage/follower.py
@@ -0,0 +1,138 @@
+"""Keeps a local copy of a table in step with the platform's store."""
+
+import asyncio
+import logging
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+
+from result import Err
+
+from ..edges import Clock
+from ..edges.row_store import HistoryLostError, RowStore, StoredRow
+
+logger = logging.getLogger(__name__)
+
+# A feed call returns by itself after this, so that a connection that went silent is
+# noticed within about two seconds.
+WAIT_MS = 1_000
+# Pause between two feed calls that both brought rows: bounds the calls of a table that
+# changes all the time.
+PACE_MS = 60
+RETRY_MS = 150
+LONGEST_RETRY_MS = 600
+
+
+class TableReader(ABC):
+    """Receives the content of a followed table."""
+
+    @abstractmethod
+    def replace_rows(self, rows: Sequence[StoredRow]) -> None:
+        """Take over all rows of the table."""
+
+    @abstractmethod
+    def change_rows(self, rows: Sequence[StoredRow]) -> None:
+        """Take over changed and deleted rows, in order."""
+
+    def store_returned(self) -> None:  # noqa: B027 - most readers need not know
+        """Learn that the store answers again after an outage; rows follow."""
+
+
+class TableFollower:
+    """Follows one table by reading it once and then its feed.
+
+    Parameters
+    ----------
+    store : RowStore
+        The platform's store.
+    clock : Clock
+        Source of time.
+    table : str
+        Followed table.
+    reader : TableReader
+        Receives the rows.
+    pace_ms : float
+        Shortest time between two feed calls.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        clock: Clock,
+        table: str,
+        reader: TableReader,
+        pace_ms: float = PACE_MS,
+    ) -> None:
+        self.store = store
+        self.clock = clock
+        self.table = table
+        self.reader = reader
+        self.pace_ms = pace_ms
+        self.loaded = asyncio.Event()
+        self.version = 0
+        self.healthy_since_ms: float | None = None
+        self.confirmed_ms = -1e12
+
+    def is_current(self, within_ms: float) -> bool:
+        """Tell whether the store has confirmed the copy within a time."""
+        return self.clock.monotonic_ms() - self.confirmed_ms <= within_ms
+
+    def note_success(self) -> None:
+        """Record an answer; the first one after failures is a regained dependency."""
+        now = self.clock.monotonic_ms()
+        self.confirmed_ms = now
+        if self.healthy_since_ms is None:
+            self.healthy_since_ms = now
+            if self.loaded.is_set():
+                logger.info("store regained", extra={"table": self.table})
+                self.reader.store_returned()
+
+    def note_failure(self, error: Exception) -> None:
+        """Record a failure; only the first one of a row is logged."""
+        if self.healthy_since_ms is not None or not self.loaded.is_set():
+            logger.warning(
+                "store lost", extra={"table": self.table, "cause": str(error)}
+            )
+        self.healthy_since_ms = None
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        pause = RETRY_MS
+        reread = True
+        while True:
+            failed = await (self.read_all() if reread else self.read_changes())
+            if failed is None:
+                reread, pause = False, RETRY_MS
+                continue
+            reread = reread or isinstance(failed, HistoryLostError)
+            if isinstance(failed, HistoryLostError):
+                logger.info("table read again", extra={"table": self.table})
+                continue
+            self.note_failure(failed)
+            await self.clock.sleep_ms(pause)
+            pause = min(LONGEST_RETRY_MS, pause * 2)
+
+    async def read_all(self) -> Exception | None:
+        """Read the whole table; return the failure, if any."""
+        answer = await self.store.read_table(self.table)
+        if isinstance(answer, Err):
+            return answer.err_value
+        self.note_success()
+        page = answer.ok_value
+        self.version = page.version
+        self.reader.replace_rows(page.rows)
+        self.loaded.set()
+        return None
+
+    async def read_changes(self) -> Exception | None:
+        """Read the feed once; return the failure, if any."""
+        answer = await self.store.changes(self.table, self.version, WAIT_MS)
+        if isinstance(answer, Err):
+            return answer.err_value
+        self.note_success()
+        page = answer.ok_value
+        if page.rows:
+            self.reader.change_rows(page.rows)
+        self.version = max(self.version, page.version)
+        if page.rows:
+            await self.clock.sleep_ms(self.pace_ms)
+        return None
--- a/packages/ebonylb_standins/src/ebonylb_standins/broken_vm.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/broken_vm.py
@@ -23,7 +23,8 @@
 from ebonylb.edges import CallAnswer, EngineChunk, GenerateRequest
 from ebonylb.outcomes import Outcome, RefusedError, StepError
 from ebonylb.routing import Work
-from ebonylb.service import EntryVmService, run_service
+from ebonylb.service.app import EntryVmService
+from ebonylb.service.run import run_service
 from ebonylb.service.strike_spread import StrikeSpread
 from ebonylb.steps import StepDeclaration, StepHolder, StepService
 from ebonylb.steps.attempts import Attempt
