batches: a run continued after its last event has no weight version to check

Cause: an item that was moved after its last event got an empty answer without a version header, which was taken for a broken run and tried until the deadline. Ruled out: servers without version headers; every answer with an event has one. Conclusion: versions are checked where an event needs one.

--- a/packages/ebonylb/src/ebonylb/batches/item_run.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_run.py
@@ -285,8 +285,7 @@
     ) -> None:
         """Make sure that the weights of an answer may generate the item."""
         if version is None:
-            if need.model and need.min_version:
-                raise StepError("item.version", server.name, "no weight version")
+            # A run continued after its last event has no event left to have one.
             return
         if need.model:
             self.directory.condition(server.name).versions[need.model] = version
@@ -331,6 +330,8 @@
             if event.weight_version is not None:
                 version = event.weight_version
                 condition.versions[need.model] = version
+            if need.model and version is None:
+                raise StepError("item.version", server.name, "event without weights")
             state.events.append(event.data)
             state.versions.append(version or 0)
             if not first:
