batches: tests on virtual time; single-version runs start anew when their weights are gone

Cause: an item of a single-version route that had begun with weights no server has any more waited for them until its retention was over; items of one batch took the free slots in the order of the batch, so that long ones could start last. Ruled out: the placement's own order, which only concerns items that wait. Before / after: test_a_single_version_route_starts_anew_on_other_weights and test_long_items_start_first_when_slots_are_short fail / pass.

--- a/packages/ebonylb/src/ebonylb/batches/holder.py
+++ b/packages/ebonylb/src/ebonylb/batches/holder.py
@@ -132,7 +132,11 @@
 
     async def run(self) -> None:
         """Run until all results are stored, the batch ended, or another took over."""
-        for state in self.states.values():
+        # Long items take the free slots first, since they end last.
+        longest_first = sorted(
+            self.states.values(), key=lambda state: -state.item.length_hint
+        )
+        for state in longest_first:
             self.tasks.add(asyncio.create_task(self.run_item(state)))
         try:
             await self.commit_until_done()
--- a/packages/ebonylb/src/ebonylb/batches/item_run.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_run.py
@@ -119,18 +119,20 @@
     ) -> ItemNeed:
         """Return what an item asks of a server."""
         item = state.item
-        exact = None
-        if route.single_version and state.versions:
-            exact = state.versions[0]
-        return ItemNeed(
+        need = ItemNeed(
             service=choose_target(route, item.item_id).service,
             model=item.model or header.model,
             due_ms=due_ms,
             length_hint=item.length_hint,
             min_version=header.min_version,
-            exact_version=exact,
             group=item.group,
         )
+        if route.single_version and state.versions:
+            need.exact_version = state.versions[0]
+            if not self.placement.can_serve(need):
+                state.restart()
+                need.exact_version = None
+        return need
 
     async def run(
         self,
--- a/packages/ebonylb/src/ebonylb/batches/placement.py
+++ b/packages/ebonylb/src/ebonylb/batches/placement.py
@@ -144,15 +144,25 @@
         if len(self.group_servers) > GROUPS_REMEMBERED:
             self.group_servers.popitem(last=False)
 
-    def fits(self, server: ListedServer, need: ItemNeed) -> bool:
-        """Tell whether a server has weights that may generate the item."""
+    def fits(self, server: ListedServer, need: ItemNeed, forced: bool = False) -> bool:
+        """Tell whether a server has weights that may generate the item.
+
+        When forced, an item that was begun with one version may start anew with
+        another: the servers that had that version have changed it meanwhile.
+        """
         if not need.model:
             return True
         version = self.directory.version_of(server, need.model)
-        if need.exact_version is not None:
+        if need.exact_version is not None and not forced:
             return version == need.exact_version
         return version >= need.min_version
 
+    def can_serve(self, need: ItemNeed) -> bool:
+        """Tell whether any server has weights that may generate the item."""
+        return any(
+            self.fits(server, need) for server in self.directory.ready(need.service)
+        )
+
     def choose(self, need: ItemNeed, forced: bool = False) -> ListedServer | None:
         """Return the cheapest server with room; when forced, also a full one."""
         now = self.clock.monotonic_ms()
@@ -161,7 +171,7 @@
         best_cost = float("inf")
         for server in self.directory.ready(need.service):
             condition = self.directory.condition(server.name)
-            if not self.fits(server, need):
+            if not self.fits(server, need, forced):
                 continue
             if not forced:
                 if server.name == need.avoid or condition.rests(now):
--- /dev/null
+++ b/packages/ebonylb/tests/test_batches.py
@@ -0,0 +1,566 @@
+"""Batches: kept once accepted, run once listed, whoever holds them."""
+
+import asyncio
+
+import pytest
+from result import Err
+
+from ebonylb.batches import rows
+from ebonylb.batches.item_run import ItemState
+from ebonylb.batches.model import Partial
+from ebonylb.batches.placement import ItemNeed
+from ebonylb.outcomes import Outcome
+from ebonylb_standins.histories.virtual_time import run_virtual
+from ebonylb_standins.site.servers import event_data
+from ebonylb_standins.site.world import World, configuration
+
+LIMIT_MS = 30_000
+
+
+def whole_text(item_id, events):
+    return "\n".join(event_data(item_id, number) for number in range(1, events + 1))
+
+
+async def read_all(vm, batch_id, total, limit_ms=LIMIT_MS):
+    """Read results as a trainer does until all are there."""
+    clock = vm.world.clock
+    ends = clock.monotonic_ms() + limit_ms
+    found = []
+    while len(found) < total:
+        assert clock.monotonic_ms() < ends, f"{len(found)} of {total} results"
+        page = await vm.batches.read(batch_id, len(found), 500)
+        if isinstance(page, Err):
+            await clock.sleep_ms(100)
+            continue
+        assert page.ok_value.next_position == len(found) + len(page.ok_value.results)
+        found.extend(page.ok_value.results)
+        await clock.sleep_ms(50)
+    return found
+
+
+def check_whole(batch, results):
+    """Each item stands once, with its whole text."""
+    assert sorted(r.item_id for r in results) == sorted(
+        item.item_id for item in batch.items
+    )
+    for result in results:
+        assert result.succeeded
+        assert result.text.count("\n") + 1 == len(result.text.split("\n"))
+        expected = whole_text(result.item_id, len(result.text.split("\n")))
+        assert result.text == expected
+
+
+class TestSubmission:
+    def test_results_are_whole(self):
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            batch = world.batch("b", [3, 5, 1, 8])
+            assert await vm.batches.submit(batch) is None
+            results = await read_all(vm, "b", 4)
+            check_whole(batch, results)
+            lengths = {r.item_id: len(r.text.split("\n")) for r in results}
+            assert lengths == {"b-0": 3, "b-1": 5, "b-2": 1, "b-3": 8}
+            assert all(r.versions == (1,) for r in results)
+
+        run_virtual(scenario())
+
+    def test_a_repeated_submission_is_accepted_once(self):
+        """A submission whose answer was lost comes again at another entry VM."""
+
+        async def scenario():
+            world = World()
+            first, second = world.start("a"), world.start("b", "south")
+            batch = world.batch("x", [2, 2])
+            assert await first.batches.submit(batch) is None
+            assert await second.batches.submit(batch) is None
+            results = await read_all(second, "x", 2)
+            check_whole(batch, results)
+            ran = [item for s in world.port.servers.values() for item in s.ran]
+            assert sorted(ran) == ["x-0", "x-1"]
+
+        run_virtual(scenario())
+
+    def test_a_store_that_is_down_means_not_run(self):
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            vm.store.faults.down = True
+            refusal = await vm.batches.submit(world.batch("x", [2]))
+            assert refusal.outcome is Outcome.NOT_RUN
+            assert refusal.retry_after_ms > 0
+            vm.store.faults.down = False
+            await world.clock.sleep_ms(10_000)
+            assert not any(s.ran for s in world.port.servers.values())
+
+        run_virtual(scenario())
+
+    def test_an_unclear_submission_is_never_called_not_run(self):
+        """The write may be carried out later, and the batch then runs."""
+
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            vm.store.faults.late_ms = [2_000]
+            batch = world.batch("x", [2])
+            refusal = await vm.batches.submit(batch)
+            assert refusal.outcome is Outcome.MAY_HAVE_RUN
+            check_whole(batch, await read_all(vm, "x", 1))
+
+        run_virtual(scenario())
+
+    def test_a_lost_answer_of_the_store_is_settled(self):
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            vm.store.faults.lose_answers = 1
+            batch = world.batch("x", [2])
+            assert await vm.batches.submit(batch) is None
+            check_whole(batch, await read_all(vm, "x", 1))
+
+        run_virtual(scenario())
+
+
+class TestHolders:
+    def test_another_entry_vm_takes_over(self):
+        """The entry VM that holds a batch loses power in the middle of it."""
+
+        async def scenario():
+            world = World()
+            first, second = world.start("a"), world.start("b", "south")
+            batch = world.batch("x", [5, 60, 80])
+            assert await first.batches.submit(batch) is None
+            before = await read_all(second, "x", 1)
+            first.stop()
+            results = await read_all(second, "x", 3)
+            assert results[0] == before[0]
+            check_whole(batch, results)
+
+        run_virtual(scenario())
+
+    def test_a_successor_goes_on_from_the_checkpoint(self):
+        async def scenario():
+            world = World()
+            first, second = world.start("a"), world.start("b", "south")
+            batch = world.batch("x", [150])
+            assert await first.batches.submit(batch) is None
+            await world.clock.sleep_ms(3_000)
+            first.stop()
+            check_whole(batch, await read_all(second, "x", 1))
+            resumed = [
+                r.resume_after
+                for s in world.port.servers.values()
+                for r in s.sent
+                if r.resume_after
+            ]
+            assert resumed
+            assert min(resumed) > 30
+
+        run_virtual(scenario())
+
+    def test_a_leaving_entry_vm_hands_its_batches_over_at_once(self):
+        async def scenario():
+            world = World()
+            first, second = world.start("a"), world.start("b", "south")
+            batch = world.batch("x", [100])
+            assert await first.batches.submit(batch) is None
+            await world.clock.sleep_ms(1_000)
+            await first.batches.leave()
+            left_ms = world.clock.monotonic_ms()
+            while "x" not in second.batches.holders:
+                await world.clock.sleep_ms(20)
+            assert world.clock.monotonic_ms() - left_ms < 1_000
+            check_whole(batch, await read_all(second, "x", 1))
+
+        run_virtual(scenario())
+
+    def test_a_restarted_entry_vm_takes_its_batches_back(self):
+        """All entry VMs lose power right after a batch was accepted."""
+
+        async def scenario():
+            world = World()
+            first = world.start("a")
+            batch = world.batch("x", [4, 4])
+            assert await first.batches.submit(batch) is None
+            first.stop()
+            again = world.start("a", life="2")
+            check_whole(batch, await read_all(again, "x", 2, 3_000))
+
+        run_virtual(scenario())
+
+    def test_two_holders_never_change_a_position(self):
+        """A holder that was cut off for a while still runs the batch."""
+
+        async def scenario():
+            world = World(engines=4)
+            first, second = world.start("a"), world.start("b", "south")
+            batch = world.batch("x", [10 * n for n in range(1, 17)])
+            assert await first.batches.submit(batch) is None
+            await world.clock.sleep_ms(400)
+            first.store.faults.down = True
+            seen = await read_all(second, "x", 3)
+            first.store.faults.down = False
+            results = await read_all(second, "x", 16)
+            assert results[:3] == seen
+            check_whole(batch, results)
+            other = await read_all(first, "x", 16)
+            assert other == results
+
+        run_virtual(scenario())
+
+    @pytest.mark.parametrize("fault", ["lost", "late"])
+    def test_unclear_commits_list_each_item_once(self, fault):
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            batch = world.batch("x", [4 * n for n in range(1, 13)])
+            assert await vm.batches.submit(batch) is None
+            for _ in range(8):
+                if fault == "lost":
+                    vm.store.faults.lose_answers = 1
+                else:
+                    vm.store.faults.late_ms = [300]
+                await world.clock.sleep_ms(150)
+            check_whole(batch, await read_all(vm, "x", 12))
+
+        run_virtual(scenario())
+
+    def test_an_outage_of_the_store_loses_nothing(self):
+        async def scenario():
+            world = World()
+            first, second = world.start("a"), world.start("b", "south")
+            batch = world.batch("x", [20, 40, 60, 120])
+            assert await first.batches.submit(batch) is None
+            await world.clock.sleep_ms(300)
+            for vm in (first, second):
+                vm.store.faults.down = True
+            await world.clock.sleep_ms(6_000)
+            for vm in (first, second):
+                vm.store.faults.down = False
+            check_whole(batch, await read_all(second, "x", 4))
+
+        run_virtual(scenario())
+
+
+class TestEnd:
+    def test_no_item_starts_after_the_end(self):
+        async def scenario():
+            world = World(engines=1)
+            first, second = world.start("a"), world.start("b", "south")
+            batch = world.batch("x", [60] * 60)
+            assert await first.batches.submit(batch) is None
+            await world.clock.sleep_ms(500)
+            assert await second.batches.end("x") is None
+            await world.clock.sleep_ms(1_000)
+            ran = len(world.port.servers["e0"].ran)
+            await world.clock.sleep_ms(10_000)
+            assert len(world.port.servers["e0"].ran) == ran < 60
+            assert world.port.servers["e0"].running == 0
+            assert await first.batches.end("x") is None
+
+        run_virtual(scenario())
+
+    def test_listed_results_stay_after_the_end(self):
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            batch = world.batch("x", [2, 300])
+            assert await vm.batches.submit(batch) is None
+            before = await read_all(vm, "x", 1)
+            assert await vm.batches.end("x") is None
+            await world.clock.sleep_ms(5_000)
+            page = await vm.batches.read("x", 0, 0)
+            assert page.ok_value.results[:1] == before
+
+        run_virtual(scenario())
+
+    def test_an_unknown_batch_is_told_apart_from_an_unreachable_store(self):
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            await world.clock.sleep_ms(100)
+            unknown = await vm.batches.read("nobody", 0, 0)
+            assert unknown.err_value.reason == "no_batch"
+            vm.store.faults.down = True
+            unsure = await vm.batches.read("nobody", 0, 0)
+            assert unsure.err_value.reason == "store_unreachable"
+
+        run_virtual(scenario())
+
+
+class TestSteps:
+    def test_leftovers_of_the_last_step_are_used(self):
+        """A straggler of one step comes again in the next one."""
+
+        async def scenario():
+            world = World()
+            first, second = world.start("a"), world.start("b", "south")
+            one = world.batch("s1", [2, 100], step=1)
+            assert await first.batches.submit(one) is None
+            await world.clock.sleep_ms(2_500)
+            assert await first.batches.end("s1") is None
+            await world.clock.sleep_ms(600)
+            two = world.batch("s2", [2], step=2)
+            carried = type(two)(
+                type(two.header)("s2", "batch", 2, world.clock.wall_ms(), "m", 2, 1),
+                (*one.items[1:], *two.items),
+            )
+            assert await second.batches.submit(carried) is None
+            check_whole(carried, await read_all(second, "s2", 2))
+            last = [
+                r
+                for s in world.port.servers.values()
+                for r in s.sent
+                if r.request_id == "s1-1"
+            ][-1]
+            assert last.resume_after > 50
+
+        run_virtual(scenario())
+
+    def test_text_of_old_weights_is_not_used(self):
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            one = world.batch("s1", [100], step=1)
+            assert await vm.batches.submit(one) is None
+            await world.clock.sleep_ms(2_000)
+            assert await vm.batches.end("s1") is None
+            await world.clock.sleep_ms(600)
+            for server in world.port.servers.values():
+                server.versions["m"] = 3
+            vm.refresh()
+            header = type(one.header)(
+                "s2", "batch", 1, world.clock.wall_ms(), "m", 2, 3
+            )
+            again = type(one)(header, one.items)
+            assert await vm.batches.submit(again) is None
+            results = await read_all(vm, "s2", 1)
+            assert results[0].versions == (3,)
+            assert results[0].text == whole_text("s1-0", 100)
+
+        run_virtual(scenario())
+
+    def test_no_item_runs_on_weights_below_the_minimum(self):
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            world.port.servers["e0"].versions["m"] = 2
+            vm.refresh()
+            batch = world.batch("x", [3] * 20, min_version=2)
+            assert await vm.batches.submit(batch) is None
+            results = await read_all(vm, "x", 20)
+            assert {r.versions for r in results} == {(2,)}
+
+        run_virtual(scenario())
+
+    def test_versions_name_each_change_within_a_run(self):
+        """The weights change while a run goes on."""
+
+        async def scenario():
+            world = World(engines=1)
+            vm = world.start("a")
+            batch = world.batch("x", [60])
+            assert await vm.batches.submit(batch) is None
+            await world.clock.sleep_ms(500)
+            world.port.servers["e0"].versions["m"] = 2
+            results = await read_all(vm, "x", 1)
+            assert results[0].versions == (1, 2)
+
+        run_virtual(scenario())
+
+    def test_a_single_version_route_starts_anew_on_other_weights(self):
+        async def scenario():
+            world = World(engines=2, site=configuration(single_version=True))
+            vm = world.start("a")
+            world.port.servers["e1"].versions["m"] = 2
+            vm.refresh()
+            batch = world.batch("x", [60])
+            assert await vm.batches.submit(batch) is None
+            await world.clock.sleep_ms(700)
+            for server in world.port.servers.values():
+                if server.running:
+                    server.mode = "absent"
+            vm.batches.runner.directory.put(
+                next(s for s in world.listed() if s.name == "e1")
+            )
+            await world.clock.sleep_ms(200)
+            for server in world.port.servers.values():
+                server.versions["m"] = 2
+                server.mode = "serves"
+            vm.refresh()
+            results = await read_all(vm, "x", 1)
+            assert len(results[0].versions) == 1
+            assert results[0].text == whole_text("x-0", 60)
+
+        run_virtual(scenario())
+
+
+class TestItems:
+    def test_a_run_after_its_last_event_has_nothing_to_check(self):
+        """A run was moved after its last event; the rest has no weight version."""
+
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            batch = world.batch("x", [5])
+            state = ItemState(batch.items[0])
+            events = tuple(event_data("x-0", n) for n in range(1, 6))
+            state.adopt(Partial(events, (1,) * 5))
+            route = vm.routes.named("batch")
+            async with asyncio.timeout(5):
+                result = await vm.batches.runner.run(
+                    state, batch.header, route, 1e9, 1e9
+                )
+            assert result.text == whole_text("x-0", 5)
+
+        run_virtual(scenario())
+
+    def test_an_item_that_always_fails_is_given_up_after_its_attempts(self):
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            batch = world.batch("x", [5])
+            world.port.outputs["x-0"].status = 500
+            assert await vm.batches.submit(batch) is None
+            while not (page := await vm.batches.read("x", 0, 500)).ok_value.results:
+                await world.clock.sleep_ms(50)
+            assert not page.ok_value.results[0].succeeded
+            assert sum(len(s.ran) for s in world.port.servers.values()) == 3
+
+        run_virtual(scenario())
+
+    def test_an_impossible_item_is_given_up_at_once(self):
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            batch = world.batch("x", [5])
+            world.port.outputs["x-0"].status = 422
+            assert await vm.batches.submit(batch) is None
+            await world.clock.sleep_ms(1_000)
+            page = await vm.batches.read("x", 0, 0)
+            assert not page.ok_value.results[0].succeeded
+            assert sum(len(s.ran) for s in world.port.servers.values()) == 1
+
+        run_virtual(scenario())
+
+    @pytest.mark.parametrize("mode", ["dark", "absent", "resets"])
+    def test_a_server_that_falls_silent_is_left(self, mode):
+        """One of three engines crashes or goes dark in the middle of all runs."""
+
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            batch = world.batch("x", [40] * 12)
+            assert await vm.batches.submit(batch) is None
+            await world.clock.sleep_ms(500)
+            world.port.servers["e0"].mode = mode
+            check_whole(batch, await read_all(vm, "x", 12, 6_000))
+
+        run_virtual(scenario())
+
+
+class TestPlacement:
+    def test_one_slow_server_does_not_hold_a_step(self):
+        """Pattern: one engine in three at a fifth of its speed, long items on it."""
+
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            world.port.servers["e0"].slowdown = 5.0
+            batch = world.batch("x", [50] * 12)
+            assert await vm.batches.submit(batch) is None
+            check_whole(batch, await read_all(vm, "x", 12))
+            # 50 events take 1.65 s; alone on the slow server they would take 8.25 s.
+            assert world.clock.monotonic_ms() < 2 * 1_650 + 1_000
+
+        run_virtual(scenario())
+
+    def test_a_burst_spreads_evenly(self):
+        """Pattern: all items of a step arrive at once on idle engines."""
+
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            batch = world.batch("x", [30] * 24, group_size=1)
+            assert await vm.batches.submit(batch) is None
+            await read_all(vm, "x", 24)
+            counts = [len(world.port.servers[f"e{n}"].ran) for n in range(3)]
+            assert max(counts) - min(counts) <= 2
+
+        run_virtual(scenario())
+
+    def test_long_items_start_first_when_slots_are_short(self):
+        """Pattern: a step larger than the slots, with a few long items at its end."""
+
+        async def scenario():
+            world = World(engines=1)
+            vm = world.start("a")
+            batch = world.batch("x", [5] * 40 + [80, 80])
+            assert await vm.batches.submit(batch) is None
+            await read_all(vm, "x", 42)
+            first_batch = world.port.servers["e0"].ran[:16]
+            assert {"x-40", "x-41"} <= set(first_batch)
+            # Started last, the long items alone would end after 2.64 s more.
+            assert world.clock.monotonic_ms() < 80 * 33 * 1.25
+
+        run_virtual(scenario())
+
+    def test_items_wait_here_and_not_in_the_servers(self):
+        async def scenario():
+            world = World(engines=1)
+            vm = world.start("a")
+            assert await vm.batches.submit(world.batch("x", [10] * 50)) is None
+            await read_all(vm, "x", 50)
+            assert world.port.servers["e0"].most_running <= 16
+            assert len(world.port.servers["e0"].sent) == 50
+
+        run_virtual(scenario())
+
+    def test_earlier_due_batches_go_first(self):
+        async def scenario():
+            world = World(engines=1)
+            vm = world.start("a")
+            need = {"service": "lm", "model": "m", "min_version": 1}
+            held = [
+                await vm.placement.acquire(ItemNeed(due_ms=1, **need))
+                for _ in range(16)
+            ]
+            late = asyncio.create_task(
+                vm.placement.acquire(ItemNeed(due_ms=9_000, **need))
+            )
+            early = asyncio.create_task(
+                vm.placement.acquire(ItemNeed(due_ms=5_000, **need))
+            )
+            await world.clock.sleep_ms(10)
+            vm.placement.release(held[0])
+            await world.clock.sleep_ms(10)
+            assert early.done()
+            assert not late.done()
+            late.cancel()
+
+        run_virtual(scenario())
+
+
+class TestRows:
+    def test_large_values_are_split_and_joined(self):
+        async def scenario():
+            world = World()
+            batch = world.batch("x", [1] * 50)
+            puts = rows.encode_items("x", batch.items, 100)
+            assert len(puts) > 3
+            stored = [
+                type("Row", (), {"at": put.at, "value": put.value}) for put in puts
+            ]
+            assert rows.decode_items(stored) == batch.items
+
+        run_virtual(scenario())
+
+    def test_partials_of_two_holders_join_without_a_gap(self):
+        writes = [
+            rows.encode_partial("x", "i", 0, ["a", "b"], [1, 1]),
+            rows.encode_partial("x", "i", 2, ["c"], [2]),
+            rows.encode_partial("x", "i", 5, ["f"], [2]),
+        ]
+        stored = [type("Row", (), {"at": w.at, "value": w.value}) for w in writes]
+        found = rows.decode_partials(stored)["i"]
+        assert found == Partial(("a", "b", "c"), (1, 1, 2))
--- /dev/null
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/row_store.py
@@ -0,0 +1,184 @@
+"""Store of versioned rows in memory, with the faults of the platform's store."""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from ebonylb.edges import Clock
+from ebonylb.edges.row_store import (
+    Applied,
+    Condition,
+    HistoryLostError,
+    Mismatch,
+    Page,
+    Put,
+    RowKey,
+    RowStore,
+    StoredRow,
+)
+from ebonylb.outcomes import StepError
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """What goes wrong from now on.
+
+    Attributes
+    ----------
+    down : bool
+        Calls fail at once and nothing is done.
+    lose_answers : int
+        So many transactions are done and not answered.
+    late_ms : list of float
+        The next transactions get no answer and are done after these times, if their
+        conditions still hold.
+    delay_ms : float
+        Duration of each call.
+    """
+
+    down: bool = False
+    lose_answers: int = 0
+    late_ms: list[float] = field(default_factory=list)
+    delay_ms: float = 4.0
+
+
+class StoreData:
+    """Rows shared by all clients of one store."""
+
+    def __init__(self) -> None:
+        self.rows: dict[RowKey, StoredRow] = {}
+        self.log: list[StoredRow] = []
+        self.version = 0
+        self.dropped_before = 0
+        self.changed = asyncio.Event()
+        self.transactions = 0
+
+    def apply(
+        self, conditions: Sequence[Condition], puts: Sequence[Put]
+    ) -> Applied | Mismatch:
+        """Apply a transaction as the store does."""
+        self.transactions += 1
+        for condition in conditions:
+            row = self.rows.get(condition.at)
+            if (row.version if row else 0) != condition.version:
+                found = (self.rows.get(c.at) for c in conditions)
+                return Mismatch(tuple(row for row in found if row))
+        self.version += 1
+        for put in puts:
+            deleted = put.value is None
+            row = StoredRow(put.at, put.value or b"", self.version, deleted)
+            self.log.append(row)
+            if deleted:
+                self.rows.pop(put.at, None)
+            else:
+                self.rows[put.at] = row
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return Applied(self.version, 0.0)
+
+    def drop_history(self) -> None:
+        """Forget all changes so far; a feed from before fails."""
+        self.dropped_before = self.version
+
+    def put(self, table: str, key: str, value: bytes | None, part: str = "") -> None:
+        """Write a row as the operator or a server does."""
+        self.apply([], [Put(RowKey(table, part, key), value)])
+
+
+class MemoryRowStore(RowStore):
+    """One client's access to a store, with faults of its own.
+
+    Parameters
+    ----------
+    data : StoreData
+        The shared rows.
+    clock : Clock
+        Source of time.
+    """
+
+    def __init__(self, data: StoreData, clock: Clock) -> None:
+        self.data = data
+        self.clock = clock
+        self.faults = StoreFaults()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def failure(self, may_have_run: bool) -> Err[StepError]:
+        """Return the error of a call."""
+        return Err(StepError("store", "memory", "fault", may_have_run))
+
+    async def transact(
+        self, conditions: Sequence[Condition], puts: Sequence[Put]
+    ) -> Result[Applied | Mismatch, StepError]:
+        """Apply a transaction, or fail as the faults say."""
+        await self.clock.sleep_ms(self.faults.delay_ms)
+        if self.faults.down:
+            return self.failure(False)
+        if self.faults.late_ms:
+            delay = self.faults.late_ms.pop(0)
+            task = asyncio.create_task(self.apply_late(delay, conditions, puts))
+            self.tasks.add(task)
+            return self.failure(True)
+        done = self.data.apply(conditions, puts)
+        if self.faults.lose_answers:
+            self.faults.lose_answers -= 1
+            return self.failure(True)
+        return Ok(done)
+
+    async def apply_late(
+        self, delay_ms: float, conditions: Sequence[Condition], puts: Sequence[Put]
+    ) -> None:
+        """Carry a transaction out after its caller gave up."""
+        await self.clock.sleep_ms(delay_ms)
+        self.data.apply(conditions, puts)
+
+    async def read(
+        self, table: str, part: str = "", start: str = "", end: str = ""
+    ) -> Result[Page, StepError]:
+        """Read a range."""
+        await self.clock.sleep_ms(self.faults.delay_ms)
+        if self.faults.down:
+            return self.failure(False)
+        rows = [
+            row
+            for at, row in self.data.rows.items()
+            if (at.table, at.part) == (table, part)
+            and at.key >= start
+            and (not end or at.key < end)
+        ]
+        rows.sort(key=lambda row: row.at.key)
+        return Ok(Page(tuple(rows), self.data.version))
+
+    async def read_table(self, table: str) -> Result[Page, StepError]:
+        """Read all partitions."""
+        await self.clock.sleep_ms(self.faults.delay_ms)
+        if self.faults.down:
+            return self.failure(False)
+        rows = [row for at, row in self.data.rows.items() if at.table == table]
+        return Ok(Page(tuple(rows), self.data.version))
+
+    async def changes(
+        self, table: str, after: int, wait_ms: int
+    ) -> Result[Page, StepError]:
+        """Wait for changes."""
+        await self.clock.sleep_ms(self.faults.delay_ms)
+        ends_ms = self.clock.monotonic_ms() + wait_ms
+        while True:
+            if self.faults.down:
+                return self.failure(False)
+            if after < self.data.dropped_before:
+                return Err(HistoryLostError("store", "memory", "dropped", False))
+            rows = [
+                row
+                for row in self.data.log
+                if row.version > after and row.at.table == table
+            ]
+            left = ends_ms - self.clock.monotonic_ms()
+            if rows or left <= 0:
+                return Ok(Page(tuple(rows), self.data.version))
+            try:
+                async with asyncio.timeout(left / 1000):
+                    await self.data.changed.wait()
+            except TimeoutError:
+                continue
