batches: batches of one route stay with one entry VM

Cause: each step of a trainer arrived at another entry VM, which opened its own connections to every engine and knew nothing of the steps before. Ruled out: one holder for all routes, whose loss would stall every trainer. Change: a new batch names the route's last holder while its commits are recent; the receiver takes the batch back when it is not begun within 450 ms.

--- a/packages/ebonylb/src/ebonylb/batches/duty.py
+++ b/packages/ebonylb/src/ebonylb/batches/duty.py
@@ -14,7 +14,7 @@
 from .board import BatchBoard, Seen
 from .holder import BatchHolder
 from .item_run import ItemRunner
-from .model import Batch, ItemResult, Progress
+from .model import Batch, BatchHeader, ItemResult, Progress
 from .repository import BatchRepository, StoredProgress
 
 logger = logging.getLogger(__name__)
@@ -25,6 +25,11 @@
 SPREAD_MS = 800.0
 RELEASED_SPREAD_MS = 250.0
 WATCH_MS = 150.0
+# A holder whose last commit is no older than this is taken to be alive: it commits at
+# least each 800 ms.
+ALIVE_MS = 1_500.0
+# A batch handed to another entry VM is taken back when it was not begun by then.
+HANDOVER_MS = 450.0
 SETTLE_LIMIT_MS = 1_500.0
 RETRY_MS = 80.0
 STORE_RETRY_AFTER_MS = 500
@@ -93,16 +98,52 @@
         self.retention_ms = retention_ms
         self.holders: dict[str, BatchHolder] = {}
         self.claiming: set[str] = set()
+        self.handed_over: dict[str, tuple[int, float]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.leaving = False
         self.deleted_ms = 0.0
         board.listeners.append(self.note_change)
 
     def note_change(self, seen: Seen) -> None:
-        """Tell the holder of a batch what became of it."""
-        holder = self.holders.get(seen.progress.header.batch_id)
+        """Tell the holder of a batch what became of it; begin what was handed here."""
+        progress = seen.progress
+        batch_id = progress.header.batch_id
+        holder = self.holders.get(batch_id)
         if holder is not None:
             holder.take_over_progress(seen.stored)
+        elif self.is_mine(progress) and not progress.ended:
+            self.begin_take_over(seen.stored)
+
+    def is_mine(self, progress: Progress) -> bool:
+        """Tell whether a progress row names this process as holder."""
+        return (progress.holder, progress.incarnation) == (self.name, self.incarnation)
+
+    def begin_take_over(self, stored: StoredProgress) -> None:
+        """Take a batch over, unless that goes on already."""
+        batch_id = stored.progress.header.batch_id
+        if batch_id in self.holders or batch_id in self.claiming:
+            return
+        self.claiming.add(batch_id)
+        self.start(self.take_over(stored))
+
+    def usual_holder(self, header: BatchHeader) -> tuple[str, str]:
+        """Return the entry VM that should run a new batch, with its incarnation.
+
+        Batches of one route stay with one entry VM while it is alive: it has
+        connections to the servers and knows how far the other batches are.
+        """
+        now = self.clock.monotonic_ms()
+        alive = [
+            seen
+            for seen in self.board.seen.values()
+            if seen.progress.header.route == header.route
+            and seen.progress.holder
+            and now - seen.changed_ms <= ALIVE_MS
+        ]
+        if not alive:
+            return self.name, self.incarnation
+        newest = max(alive, key=lambda seen: seen.stored.version).progress
+        return newest.holder, newest.incarnation
 
     async def submit(self, batch: Batch) -> Refusal | None:
         """Store a batch and start it; None when it is accepted, also earlier."""
@@ -112,14 +153,18 @@
         route = self.routes.named(batch.header.route)
         if self.leaving or route is None:
             return UNSURE
-        progress = Progress(
-            batch.header, self.name, self.incarnation, token=new_token()
-        )
+        holder, incarnation = self.usual_holder(batch.header)
+        progress = Progress(batch.header, holder, incarnation, token=new_token())
+        if self.is_mine(progress):
+            self.claiming.add(batch_id)
         created = await self.repository.create(batch, progress)
-        if isinstance(created, Err):
-            return await self.settle_submission(batch, progress, created.err_value)
-        if created.ok_value is not None:
-            self.accepted(batch, created.ok_value)
+        try:
+            if isinstance(created, Err):
+                return await self.settle_submission(batch, progress, created.err_value)
+            if created.ok_value is not None:
+                self.accepted(batch, created.ok_value)
+        finally:
+            self.claiming.discard(batch_id)
         return None
 
     async def settle_submission(
@@ -144,12 +189,14 @@
         return UNCLEAR
 
     def accepted(self, batch: Batch, stored: StoredProgress) -> None:
-        """Run a batch that was stored with this entry VM as holder."""
+        """Run a batch that was stored, or watch that its holder begins it."""
+        batch_id = batch.header.batch_id
         self.board.note(stored)
         logger.info(
             "batch accepted",
             extra={
-                "batch": batch.header.batch_id,
+                "batch": batch_id,
+                "holder": stored.progress.holder,
                 "step": batch.header.step,
                 "model": batch.header.model,
                 "min_version": batch.header.min_version,
@@ -157,7 +204,14 @@
                 "groups_wanted": batch.header.groups_wanted,
             },
         )
-        self.start(self.run_accepted(batch, stored))
+        if not self.is_mine(stored.progress):
+            now = self.clock.monotonic_ms()
+            self.handed_over[batch_id] = (stored.version, now)
+            return
+        holder = self.holder_of(batch, stored)
+        if holder is not None:
+            self.holders[batch_id] = holder
+            self.start(self.run_accepted(holder))
 
     def start(self, work) -> None:
         """Run a coroutine that ends by itself."""
@@ -192,12 +246,8 @@
             self.repository.row_bytes,
         )
 
-    async def run_accepted(self, batch: Batch, stored: StoredProgress) -> None:
+    async def run_accepted(self, holder: BatchHolder) -> None:
         """Run a new batch, with what is left of the trainer's last one."""
-        holder = self.holder_of(batch, stored)
-        if holder is None:
-            return
-        self.holders[batch.header.batch_id] = holder
         await self.use_leftovers(holder)
         await self.run_holder(holder)
 
@@ -336,9 +386,7 @@
             now = self.clock.monotonic_ms()
             for seen in list(self.board.seen.values()):
                 if self.is_abandoned(seen, now):
-                    batch_id = seen.progress.header.batch_id
-                    self.claiming.add(batch_id)
-                    self.start(self.take_over(seen.stored))
+                    self.begin_take_over(seen.stored)
             if now - self.deleted_ms > DELETE_CHECK_MS:
                 self.deleted_ms = now
                 self.start(self.delete_expired())
@@ -348,7 +396,14 @@
         progress = seen.progress
         batch_id = progress.header.batch_id
         if progress.ended or batch_id in self.holders or batch_id in self.claiming:
+            self.handed_over.pop(batch_id, None)
             return False
+        handed = self.handed_over.get(batch_id)
+        if handed is not None:
+            version, at_ms = handed
+            if seen.stored.version == version:
+                return now_ms - at_ms > HANDOVER_MS
+            self.handed_over.pop(batch_id)
         silent = now_ms - max(seen.changed_ms, self.follower.healthy_since_ms or now_ms)
         if progress.holder == self.name:
             return progress.incarnation != self.incarnation or silent > SILENCE_MS
@@ -364,6 +419,9 @@
             if self.routes.named(stored.progress.header.route) is None:
                 await self.clock.sleep_ms(SILENCE_MS)
                 return
+            if self.leaving:
+                await self.hand_back(stored)
+                return
             after = stored.progress.written(
                 new_token(), holder=self.name, incarnation=self.incarnation
             )
@@ -393,10 +451,22 @@
                 return
             holder.adopt(found.results, found.partials)
             self.holders[batch_id] = holder
+            if not found.results and not found.partials:
+                await self.use_leftovers(holder)
         finally:
             self.claiming.discard(batch_id)
         await self.run_holder(holder)
 
+    async def hand_back(self, stored: StoredProgress) -> None:
+        """Release a batch that was handed here although this entry VM leaves."""
+        after = stored.progress.written(new_token(), holder="")
+        done = await self.repository.replace(stored.version, after)
+        if isinstance(done, Err):
+            logger.info(
+                "batch not handed back",
+                extra={"batch": stored.progress.header.batch_id},
+            )
+
     async def delete_expired(self) -> None:
         """Delete batches that no caller may read any more; one entry VM does it."""
         now = self.clock.wall_ms()
--- a/packages/ebonylb/tests/test_batches.py
+++ b/packages/ebonylb/tests/test_batches.py
@@ -564,3 +564,53 @@
         stored = [type("Row", (), {"at": w.at, "value": w.value}) for w in writes]
         found = rows.decode_partials(stored)["i"]
         assert found == Partial(("a", "b", "c"), (1, 1, 2))
+
+
+class TestUsualHolder:
+    def test_batches_of_a_route_stay_with_one_entry_vm(self):
+        """Pattern: each step of a trainer arrives at another entry VM."""
+
+        async def scenario():
+            world = World()
+            names = ["a", "b", "c"]
+            vms = [world.start(name) for name in names]
+            for number in range(3):
+                batch = world.batch(f"x{number}", [60, 60], step=number)
+                assert await vms[number].batches.submit(batch) is None
+                await world.clock.sleep_ms(500)
+            assert set(vms[0].batches.holders) == {"x0", "x1", "x2"}
+            for number in range(3):
+                await read_all(vms[2 - number], f"x{number}", 2)
+
+        run_virtual(scenario())
+
+    def test_a_batch_handed_to_a_dead_entry_vm_is_taken_back(self):
+        """Pattern: the usual holder loses power just before the next step."""
+
+        async def scenario():
+            world = World()
+            first, second = world.start("a"), world.start("b")
+            assert await first.batches.submit(world.batch("x0", [200])) is None
+            await world.clock.sleep_ms(500)
+            first.stop()
+            batch = world.batch("x1", [10, 10], step=1)
+            assert await second.batches.submit(batch) is None
+            assert second.board.get("x1").holder == "a"
+            began = world.clock.monotonic_ms()
+            check_whole(batch, await read_all(second, "x1", 2))
+            assert world.clock.monotonic_ms() - began < 1_500
+
+        run_virtual(scenario())
+
+    def test_a_batch_handed_to_a_leaving_entry_vm_is_given_on(self):
+        async def scenario():
+            world = World()
+            first, second = world.start("a"), world.start("b")
+            assert await first.batches.submit(world.batch("x0", [200])) is None
+            await world.clock.sleep_ms(500)
+            first.batches.leaving = True
+            batch = world.batch("x1", [10, 10], step=1)
+            assert await second.batches.submit(batch) is None
+            check_whole(batch, await read_all(second, "x1", 2, 2_000))
+
+        run_virtual(scenario())
