--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/adapters/metrics_page.py
@@ -0,0 +1,56 @@
+"""Counters, gauges and latency histograms as a page of text."""
+
+from hdrh.histogram import HdrHistogram
+
+from ..edges import Metrics
+
+# Durations from 0.1 ms to 2 minutes, with two significant digits.
+LOWEST_TENTH_MS, HIGHEST_TENTH_MS, DIGITS = 1, 1_200_000, 2
+QUANTILES = (50.0, 90.0, 99.0, 100.0)
+
+
+def page_name(name: str) -> str:
+    """Return a metric's name as the text format spells it."""
+    return "ebonylb_" + name.replace(".", "_").replace("-", "_")
+
+
+class PageMetrics(Metrics):
+    """Keeps measurements in memory until they are asked for.
+
+    The page has the text format that monitoring systems collect: one line for each
+    value, durations as quantiles in milliseconds.
+    """
+
+    def __init__(self) -> None:
+        self.counters: dict[str, int] = {}
+        self.gauges: dict[str, float] = {}
+        self.durations: dict[str, HdrHistogram] = {}
+
+    def incr(self, name: str, count: int = 1) -> None:
+        """Add to a counter."""
+        self.counters[name] = self.counters.get(name, 0) + count
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set a gauge."""
+        self.gauges[name] = value
+
+    def timing_ms(self, name: str, duration_ms: float) -> None:
+        """Record a duration in milliseconds; longer ones count as the longest."""
+        histogram = self.durations.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_TENTH_MS, HIGHEST_TENTH_MS, DIGITS)
+            self.durations[name] = histogram
+        tenths = max(LOWEST_TENTH_MS, round(duration_ms * 10))
+        histogram.record_value(min(HIGHEST_TENTH_MS, tenths))
+
+    def render(self) -> str:
+        """Return the page."""
+        lines = [f"{page_name(n)}_total {v}" for n, v in sorted(self.counters.items())]
+        lines += [f"{page_name(n)} {v:g}" for n, v in sorted(self.gauges.items())]
+        for name, histogram in sorted(self.durations.items()):
+            base = page_name(name) + "_ms"
+            for quantile in QUANTILES:
+                value = histogram.get_value_at_percentile(quantile) / 10
+                lines.append(f'{base}{{quantile="{quantile / 100:g}"}} {value:g}')
+            lines.append(f"{base}_count {histogram.get_total_count()}")
+        return "\n".join(lines) + "\n"
--- a/packages/ebonylb/src/ebonylb/batches/__init__.py
+++ b/packages/ebonylb/src/ebonylb/batches/__init__.py
@@ -2,6 +2,7 @@
 
 from .board import BatchBoard
 from .duty import BatchDuty, ResultsPage
+from .holder import BatchHolder
 from .item_run import ItemRunner
 from .model import Batch, BatchHeader, BatchItem, ItemResult
 from .placement import ItemPlacement
@@ -12,6 +13,7 @@
     "BatchBoard",
     "BatchDuty",
     "BatchHeader",
+    "BatchHolder",
     "BatchItem",
     "BatchRepository",
     "ItemPlacement",
--- a/packages/ebonylb/src/ebonylb/fleet/directory.py
+++ b/packages/ebonylb/src/ebonylb/fleet/directory.py
@@ -12,6 +12,7 @@
 # Live servers whose entries lapsed during an outage of the list are back within this
 # time of its return; the platform says about two seconds.
 RETURN_MS = 2_000
+MISSING_CHECK_MS = 200
 
 
 class ServerDirectory:
@@ -107,6 +108,12 @@
         if late:
             self.notify()
 
+    async def watch_missing(self) -> None:
+        """Drop servers that do not return, until cancelled."""
+        while True:
+            await self.clock.sleep_ms(MISSING_CHECK_MS)
+            self.drop_missing()
+
     def notify(self) -> None:
         """Report a change."""
         for listener in self.listeners:
--- a/packages/ebonylb/src/ebonylb/platform/node_settings.py
+++ b/packages/ebonylb/src/ebonylb/platform/node_settings.py
@@ -8,6 +8,10 @@
 
 from ..service.site_settings import SiteSettings
 
+# Named in deploy/system.toml too, from which the platform collects the metrics. It is
+# outside of the range that the platform gives to the system.
+METRICS_PORT = 9464
+
 # Wire name of each bound, with the field that holds it and its factor to that unit.
 BOUNDS = {
     "DrainMs": ("drain_ms", 1),
@@ -63,7 +67,8 @@
         for key, region in values.items()
         if key.startswith("Zones.")
     }
-    fields["metrics_port"] = int(values.get("PortRange", "0").split(",")[0] or 0)
+    if values.get("Ip"):
+        fields["metrics_address"] = f"{values['Ip']}:{METRICS_PORT}"
     if (row_bytes := values.get("Platform.RowBytes")) is not None:
         fields["row_bytes"] = int(row_bytes)
     fields["bounds"] = bounds
--- a/packages/ebonylb/src/ebonylb/platform/store.py
+++ b/packages/ebonylb/src/ebonylb/platform/store.py
@@ -98,6 +98,10 @@
         super().__init__(session, f"http://{address}", CALL_TIMEOUT_MS, "store")
         self.calls = 0
 
+    def move_to(self, address: str) -> None:
+        """Use the store at another address from the next call on."""
+        self.base_url = f"http://{address}"
+
     async def call(
         self, step: str, method: str, path: str, timeout_ms: float, **options: Any
     ) -> Result[HttpAnswer, StepError]:
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/service/duties.py
@@ -0,0 +1,151 @@
+"""The duties of an entry VM on the users' platform, without its connections."""
+
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+from ..batches import (
+    BatchBoard,
+    BatchDuty,
+    BatchRepository,
+    ItemPlacement,
+    ItemRunner,
+)
+from ..batches.rows import PROGRESS_TABLE
+from ..edges import Clock, Metrics
+from ..edges.row_store import RowStore
+from ..edges.server_port import ServerPort
+from ..fleet import ServerChoice, ServerDirectory
+from ..fleet.choice import Place
+from ..forwarding import Forwarder
+from ..forwarding.strikes import TABLE as STRIKES_TABLE
+from ..forwarding.strikes import CrashStrikes
+from ..orders import OrderDuty, OrderLedger
+from ..orders.ledger import TABLE as ORDERS_TABLE
+from ..routes import RouteTable
+from ..storage.follower import TableFollower, TableReader
+from .site_settings import Bounds
+
+
+@dataclass(frozen=True, slots=True)
+class Outside:
+    """What the duties meet.
+
+    Parameters
+    ----------
+    store : RowStore
+        The platform's store.
+    port : ServerPort
+        Backend servers.
+    """
+
+    store: RowStore
+    port: ServerPort
+    clock: Clock
+    metrics: Metrics
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Name of an entry VM, random text of its start, and where it is."""
+
+    name: str
+    incarnation: str
+    place: Place
+
+
+class SiteDuties:
+    """All duties, and the followers of the tables that they share.
+
+    Parameters
+    ----------
+    identity : Identity
+        This entry VM.
+    outside : Outside
+        Store, servers, clock and metrics.
+    bounds : Bounds
+        Agreed time limits.
+    row_bytes : int
+        Largest row value that the store takes.
+    """
+
+    def __init__(
+        self, identity: Identity, outside: Outside, bounds: Bounds, row_bytes: int
+    ) -> None:
+        self.identity = identity
+        self.outside = outside
+        self.bounds = bounds
+        clock, metrics = outside.clock, outside.metrics
+        self.routes = RouteTable()
+        self.directory = ServerDirectory(clock)
+        self.choice = ServerChoice(self.directory, clock, identity.place)
+        self.strikes = CrashStrikes(outside.store, clock)
+        self.forwarder = Forwarder(
+            self.routes,
+            self.directory,
+            self.choice,
+            outside.port,
+            self.strikes,
+            clock,
+            metrics,
+        )
+        self.build_orders()
+        self.build_batches(row_bytes)
+
+    def build_orders(self) -> None:
+        """Build the duty of weight orders."""
+        outside = self.outside
+        self.ledger = OrderLedger(
+            outside.store,
+            outside.clock,
+            self.identity.name,
+            self.identity.incarnation,
+            self.bounds.lease_ms,
+        )
+        self.orders = OrderDuty(
+            self.identity.name,
+            self.routes,
+            self.directory,
+            self.ledger,
+            outside.port,
+            outside.clock,
+            outside.metrics,
+        )
+
+    def build_batches(self, row_bytes: int) -> None:
+        """Build the duty of batches."""
+        outside = self.outside
+        clock, metrics = outside.clock, outside.metrics
+        self.board = BatchBoard(clock)
+        self.board_follower = self.follower(PROGRESS_TABLE, self.board)
+        self.placement = ItemPlacement(self.directory, self.choice, clock)
+        self.batches = BatchDuty(
+            self.identity.name,
+            self.identity.incarnation,
+            self.routes,
+            self.board,
+            self.board_follower,
+            BatchRepository(outside.store, row_bytes),
+            ItemRunner(self.placement, self.directory, outside.port, clock, metrics),
+            clock,
+            metrics,
+            self.bounds.result_retention_ms,
+        )
+
+    def follower(self, table: str, reader: TableReader) -> TableFollower:
+        """Return a follower of a table."""
+        return TableFollower(self.outside.store, self.outside.clock, table, reader)
+
+    def work(self) -> list[Coroutine[Any, Any, None]]:
+        """Return what has to run for the life of the process."""
+        shared = (
+            self.board_follower,
+            self.follower(ORDERS_TABLE, self.ledger),
+            self.follower(STRIKES_TABLE, self.strikes),
+        )
+        return [
+            *(follower.run() for follower in shared),
+            self.orders.run(),
+            self.batches.watch(),
+            self.directory.watch_missing(),
+        ]
--- a/packages/ebonylb/src/ebonylb/service/readiness.py
+++ b/packages/ebonylb/src/ebonylb/service/readiness.py
@@ -33,8 +33,10 @@
 
     def is_ready(self) -> bool:
         """Tell whether new connections should come."""
-        if self.leaving or not self.has_configuration():
-            return False
+        return not self.leaving and self.has_configuration() and self.is_store_current()
+
+    def is_store_current(self) -> bool:
+        """Tell whether the store has confirmed all that is followed."""
         return all(
             follower.loaded.is_set() and follower.is_current(STORE_SILENCE_MS)
             for follower in self.followers
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -4,28 +4,17 @@
 import contextlib
 import logging
 import signal
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 import aiohttp
 from aiohttp import web
+from result import Result
 
 from ..adapters.clock import SystemClock
-from ..adapters.metrics import NullMetrics
-from ..batches import (
-    BatchBoard,
-    BatchDuty,
-    BatchRepository,
-    ItemPlacement,
-    ItemRunner,
-)
-from ..batches.rows import PROGRESS_TABLE
+from ..adapters.metrics_page import PageMetrics
 from ..edges.row_store import StoredRow
-from ..fleet import ServerChoice, ServerDirectory
 from ..fleet.choice import Place
-from ..forwarding import Forwarder
-from ..forwarding.strikes import TABLE as STRIKES_TABLE
-from ..forwarding.strikes import CrashStrikes
-from ..orders import OrderDuty, OrderLedger
-from ..orders.ledger import TABLE as ORDERS_TABLE
 from ..outcomes import new_token
 from ..platform import names
 from ..platform.ingress import MOST_HEADER_BYTES, Ingress, make_request
@@ -39,14 +28,18 @@
 from ..platform.servers import HttpServerPort
 from ..platform.sockets import silence_aware_socket
 from ..platform.store import PlatformRowStore
-from ..routes import RouteTable
-from ..storage.follower import TableFollower, TableReader
+from ..telemetry.bounded_logs import BoundedLineHandler
+from .duties import Identity, Outside, SiteDuties
+from .metrics_page import MetricsPage
 from .operator_table import OperatorReader, ServerReader
 from .readiness import Readiness
+from .reload import SettingsReload
 from .site_settings import SiteSettings
 
 logger = logging.getLogger(__name__)
 
+ReadSettings = Callable[[], Result[SiteSettings, str]]
+
 # Below the idle time of 10 s after which backend servers close a connection.
 KEPT_CONNECTION_S = 8.0
 # Above the longest idle time after which callers still reuse a connection.
@@ -55,7 +48,6 @@
 BALANCER_GRACE_MS = 2_600
 # Before SIGKILL, so that the process ends by itself.
 EXIT_MARGIN_MS = 1_200
-MISSING_CHECK_MS = 200
 
 
 def decode_operator_row(row: StoredRow) -> object | None:
@@ -74,84 +66,41 @@
     ----------
     settings : SiteSettings
         Identity and addresses.
+    read_settings : callable
+        Reads the settings again.
     """
 
-    def __init__(self, settings: SiteSettings) -> None:
+    def __init__(self, settings: SiteSettings, read_settings: ReadSettings) -> None:
         self.settings = settings
+        self.read_settings = read_settings
         self.clock = SystemClock()
         self.incarnation = new_token()[:16]
-        self.metrics = NullMetrics()
+        self.metrics = PageMetrics()
         self.stop_requested = asyncio.Event()
         self.resources = contextlib.AsyncExitStack()
         self.tasks: list[asyncio.Task[None]] = []
+        self.log_handler: BoundedLineHandler | None = None
 
     async def start(self) -> None:
         """Build everything, listen, and begin to follow the store."""
-        bounds = self.settings.bounds
         store_session = await self.open_session()
         server_session = await self.open_session()
         self.store = PlatformRowStore(store_session, self.settings.store_address)
         self.port = HttpServerPort(server_session)
-        self.routes = RouteTable()
-        self.directory = ServerDirectory(self.clock)
         place = Place(
             self.settings.failure_domain, self.settings.region, self.settings.regions
         )
-        choice = ServerChoice(self.directory, self.clock, place)
-        self.strikes = CrashStrikes(self.store, self.clock)
-        self.forwarder = Forwarder(
-            self.routes,
-            self.directory,
-            choice,
-            self.port,
-            self.strikes,
-            self.clock,
-            self.metrics,
-        )
-        self.ledger = OrderLedger(
-            self.store,
-            self.clock,
-            self.settings.name,
-            self.incarnation,
-            bounds.lease_ms,
-        )
-        self.orders = OrderDuty(
-            self.settings.name,
-            self.routes,
-            self.directory,
-            self.ledger,
-            self.port,
-            self.clock,
-            self.metrics,
+        self.duties = SiteDuties(
+            Identity(self.settings.name, self.incarnation, place),
+            Outside(self.store, self.port, self.clock, self.metrics),
+            self.settings.bounds,
+            self.settings.row_bytes,
         )
-        self.readiness = Readiness(self.routes, self.clock)
-        self.board = BatchBoard(self.clock)
-        board_follower = self.follow(PROGRESS_TABLE, self.board)
-        placement = ItemPlacement(self.directory, choice, self.clock)
-        self.batches = BatchDuty(
-            self.settings.name,
-            self.incarnation,
-            self.routes,
-            self.board,
-            board_follower,
-            BatchRepository(self.store, self.settings.row_bytes),
-            ItemRunner(placement, self.directory, self.port, self.clock, self.metrics),
-            self.clock,
-            self.metrics,
-            bounds.result_retention_ms,
+        self.readiness = Readiness(self.duties.routes, self.clock)
+        self.reload = SettingsReload(
+            self.settings, self.read_settings, self.take_settings, self.clock
         )
-        operator = OperatorReader(
-            decode_operator_row, self.routes, self.orders.name_version
-        )
-        servers = ServerReader(decode_server, self.directory)
-        self.readiness.followers = [
-            self.follow(names.OPERATOR_TABLE, operator),
-            self.follow(names.SERVERS_TABLE, servers),
-            board_follower,
-        ]
-        self.follow(ORDERS_TABLE, self.ledger)
-        self.follow(STRIKES_TABLE, self.strikes)
-        for work in (self.orders.run(), self.batches.watch(), self.drop_missing()):
+        for work in (*self.follow_platform(), *self.duties.work(), self.reload.run()):
             self.tasks.append(asyncio.create_task(work))
         await self.listen()
         logger.info(
@@ -188,30 +137,65 @@
         session._retry_connection = False
         return await self.resources.enter_async_context(session)
 
-    def follow(self, table: str, reader: TableReader) -> TableFollower:
-        """Start to follow a table."""
-        follower = TableFollower(self.store, self.clock, table, reader)
-        self.tasks.append(asyncio.create_task(follower.run()))
-        return follower
+    def follow_platform(self) -> list[Coroutine[Any, Any, None]]:
+        """Follow what the operator, trainers and servers write.
 
-    async def drop_missing(self) -> None:
-        """Drop servers that did not return after an outage of the list."""
-        while True:
-            await self.clock.sleep_ms(MISSING_CHECK_MS)
-            self.directory.drop_missing()
+        Returns the work of the followers, which the readiness depends on.
+        """
+        duties = self.duties
+        operator = OperatorReader(
+            decode_operator_row, duties.routes, duties.orders.name_version
+        )
+        servers = ServerReader(decode_server, duties.directory)
+        followers = [
+            duties.follower(names.OPERATOR_TABLE, operator),
+            duties.follower(names.SERVERS_TABLE, servers),
+        ]
+        self.readiness.followers = [*followers, duties.board_follower]
+        return [follower.run() for follower in followers]
+
+    def take_settings(self, settings: SiteSettings) -> None:
+        """Take over settings that changed while the process runs."""
+        self.settings = settings
+        self.store.move_to(settings.store_address)
+
+    def sample(self) -> dict[str, float]:
+        """Return the gauges of the metrics page."""
+        duties = self.duties
+        unfinished = (
+            holder.batch.header.total - holder.progress.listed
+            for holder in duties.batches.holders.values()
+        )
+        return {
+            "requests.in_progress": self.readiness.in_progress,
+            "configuration.version": duties.routes.version,
+            "batches.held": len(duties.batches.holders),
+            "batches.unfinished_items": sum(unfinished),
+            "batches.items_waiting": len(duties.placement.waiters),
+            "servers.listed": len(duties.directory.servers),
+            "store.calls": self.store.calls,
+            "store.lost": float(not self.readiness.is_store_current()),
+            "logs.dropped": self.log_handler.dropped if self.log_handler else 0,
+        }
 
     async def listen(self) -> None:
         """Listen for callers and for the balancer."""
-        ingress = Ingress(self.forwarder, self.batches, self.readiness, self.clock)
-        for handler, address, idle_s in (
-            (ingress.handle, self.settings.caller_address, CALLER_IDLE_S),
-            (ingress.handle_ready, self.settings.ready_address, CALLER_IDLE_S),
+        ingress = Ingress(
+            self.duties.forwarder, self.duties.batches, self.readiness, self.clock
+        )
+        page = MetricsPage(self.metrics, self.sample)
+        for handler, address in (
+            (ingress.handle, self.settings.caller_address),
+            (ingress.handle_ready, self.settings.ready_address),
+            (page.handle, self.settings.metrics_address),
         ):
+            if not address:
+                continue
             server = web.Server(
                 handler,
                 request_factory=make_request,
                 handler_cancellation=True,
-                keepalive_timeout=idle_s,
+                keepalive_timeout=CALLER_IDLE_S,
                 access_log=None,
                 auto_decompress=False,
                 max_line_size=MOST_HEADER_BYTES,
@@ -230,11 +214,11 @@
             "entry VM leaving", extra={"in_progress": self.readiness.in_progress}
         )
         self.readiness.leaving = True
-        self.orders.leaving = True
+        self.duties.orders.leaving = True
         limit = self.settings.bounds.grace_ms - EXIT_MARGIN_MS
         try:
             async with asyncio.timeout(limit / 1000):
-                await self.batches.leave()
+                await self.duties.batches.leave()
                 passed = self.clock.monotonic_ms() - began
                 await self.clock.sleep_ms(max(0, BALANCER_GRACE_MS - passed))
                 while self.readiness.in_progress:
@@ -254,15 +238,20 @@
         logger.info("entry VM stopped")
 
 
-async def run_site(settings: SiteSettings) -> None:
+async def run_site(
+    settings: SiteSettings,
+    read_settings: ReadSettings,
+    log_handler: BoundedLineHandler | None = None,
+) -> None:
     """Run an entry VM until SIGTERM or SIGINT."""
-    service = SiteService(settings)
+    service = SiteService(settings, read_settings)
+    service.log_handler = log_handler
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, service.stop_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, logger.info, "settings file changed")
     try:
         await service.start()
+        loop.add_signal_handler(signal.SIGHUP, service.reload.signalled.set)
         await service.stop_requested.wait()
         await service.shutdown()
     finally:
--- a/packages/ebonylb/src/ebonylb/service/site_main.py
+++ b/packages/ebonylb/src/ebonylb/service/site_main.py
@@ -4,6 +4,7 @@
 whose libraries would add a fifth to the memory of each process.
 """
 
+import functools
 import os
 import sys
 
@@ -11,7 +12,7 @@
 from result import Err
 
 from ..platform.node_settings import read_node_settings
-from ..telemetry.logs import configure_logs
+from ..telemetry.bounded_logs import configure_bounded_logs
 from .site import run_site
 
 SETTINGS_VARIABLE = "EBONYLB_NODE_FILE"
@@ -27,8 +28,9 @@
         print(loaded.err_value, file=sys.stderr)
         sys.exit(EXIT_REFUSED_INPUT)
     settings = loaded.ok_value
-    configure_logs(settings.name, "info")
-    uvloop.run(run_site(settings))
+    handler = configure_bounded_logs(settings.name, "info")
+    read_again = functools.partial(read_node_settings, path)
+    uvloop.run(run_site(settings, read_again, handler))
 
 
 if __name__ == "__main__":
--- a/packages/ebonylb/src/ebonylb/service/site_settings.py
+++ b/packages/ebonylb/src/ebonylb/service/site_settings.py
@@ -49,8 +49,8 @@
         ``ip:port`` of the platform's store.
     regions : dict of str to str
         Region of each failure domain.
-    metrics_port : int
-        Port of the metrics page; 0 for none.
+    metrics_address : str
+        ``ip:port`` of the metrics page; empty for none.
     row_bytes : int
         Largest row value that the store takes.
     bounds : Bounds
@@ -64,6 +64,6 @@
     ready_address: str
     store_address: str
     regions: dict[str, str] = {}
-    metrics_port: int = 0
+    metrics_address: str = ""
     row_bytes: int = 65_536
     bounds: Bounds = Bounds()
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/telemetry/bounded_logs.py
@@ -0,0 +1,104 @@
+"""Log lines to standard output, bounded in rate and never blocking."""
+
+import logging
+import os
+import time
+
+from pythonjsonlogger.json import JsonFormatter
+
+# Lines a second in the long run, and at once. A line is about 400 bytes, so that the
+# logs of one process stay under 100 KB/s however much goes wrong.
+LINES_PER_S = 250.0
+BURST_LINES = 1_000.0
+STANDARD_OUTPUT = 1
+
+
+class BoundedLineHandler(logging.Handler):
+    """Writes whole lines to a file descriptor without waiting for its reader.
+
+    Lines beyond the rate, or that the reader is too slow for, are dropped; the next
+    line that gets through says how many. Warnings and errors may use a second
+    allowance of the same size, so that a flood of ordinary lines does not hide them.
+
+    Parameters
+    ----------
+    descriptor : int
+        Where lines go; set to non-blocking.
+    lines_per_s, burst : float
+        Allowance.
+    """
+
+    def __init__(
+        self,
+        descriptor: int = STANDARD_OUTPUT,
+        lines_per_s: float = LINES_PER_S,
+        burst: float = BURST_LINES,
+    ) -> None:
+        super().__init__()
+        self.descriptor = descriptor
+        self.lines_per_s = lines_per_s
+        self.burst = burst
+        self.allowances = {False: burst, True: burst}
+        self.refilled_s = time.monotonic()
+        self.dropped = 0
+        self.rest = b""
+        os.set_blocking(descriptor, False)
+
+    def is_allowed(self, important: bool) -> bool:
+        """Take one line off the allowance; False when it is used up."""
+        now = time.monotonic()
+        earned = (now - self.refilled_s) * self.lines_per_s
+        self.refilled_s = now
+        for kind, left in self.allowances.items():
+            self.allowances[kind] = min(self.burst, left + earned)
+        if self.allowances[important] < 1:
+            return False
+        self.allowances[important] -= 1
+        return True
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a line, or count it as dropped."""
+        if not self.is_allowed(record.levelno >= logging.WARNING):
+            self.dropped += 1
+            return
+        if self.dropped:
+            record.dropped_lines = self.dropped
+        try:
+            line = self.format(record).encode() + b"\n"
+        except (TypeError, ValueError):
+            self.handleError(record)
+            return
+        if self.write(line):
+            self.dropped = 0
+        else:
+            self.dropped += 1
+
+    def write(self, line: bytes) -> bool:
+        """Write a line after what is left of the last one; False when it is lost.
+
+        A line that fits only in part is kept, so that lines never mix.
+        """
+        try:
+            if self.rest:
+                self.rest = self.rest[os.write(self.descriptor, self.rest) :]
+            if self.rest:
+                return False
+            self.rest = line[os.write(self.descriptor, line) :]
+        except OSError:
+            # The reader is slow or gone; serving goes before logging.
+            return False
+        return True
+
+
+def configure_bounded_logs(entry_vm: str, level: str) -> BoundedLineHandler:
+    """Send all log records to standard output as JSON lines."""
+    handler = BoundedLineHandler()
+    handler.setFormatter(
+        JsonFormatter(
+            "%(asctime)s %(levelname)s %(name)s %(message)s",
+            rename_fields={"asctime": "time", "levelname": "level", "name": "logger"},
+            static_fields={"entry_vm": entry_vm},
+        )
+    )
+    logging.basicConfig(level=level.upper(), handlers=[handler], force=True)
+    return handler
--- /dev/null
+++ b/packages/ebonylb/tests/test_orders.py
@@ -0,0 +1,181 @@
+"""Weight orders: the plan, and one machine at a time for each server."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ebonylb.edges.server_port import ModelVersion
+from ebonylb.fleet import ListedServer, ServerStage
+from ebonylb.orders import plan_orders
+from ebonylb.orders.plan import home_count, homes_of
+from ebonylb_standins.histories.virtual_time import run_virtual
+from ebonylb_standins.site.world import World
+
+LEASE_MS = 3_000
+
+
+def servers(count):
+    return [
+        ListedServer(f"e{n}", "lm", f"h:{n}", "north", ServerStage.READY)
+        for n in range(count)
+    ]
+
+
+def check_turns(world):
+    """No two machines order one server within the lease term."""
+    for server in world.port.servers.values():
+        before = None
+        for at_ms, order in server.orders:
+            if before and before[1].holder != order.holder:
+                assert at_ms - before[0] >= LEASE_MS
+                assert order.fence > before[1].fence
+            before = (at_ms, order)
+
+
+class TestPlan:
+    @given(st.integers(1, 30), st.integers(1, 6))
+    def test_every_model_has_its_homes(self, count, models):
+        names = [f"e{n:02d}" for n in range(count)]
+        kinds = [f"m{n}" for n in range(models)]
+        for kind in kinds:
+            homes = homes_of(kind, kinds, names)
+            assert len(set(homes)) == len(homes) == home_count(count, models)
+
+    @given(st.integers(2, 24), st.integers(1, 5), st.integers(2, 12))
+    def test_a_usable_server_remains_while_others_load(self, count, models, last):
+        """Pattern: each step needs the version before the newest one."""
+        kinds = [f"m{n}" for n in range(models)]
+        has = {(s.name, kind): 1 for s in servers(count) for kind in kinds}
+        for version in range(2, last + 1):
+            named = dict.fromkeys(kinds, version)
+            wants = plan_orders(servers(count), kinds, named, has)
+            loading = {(w.server, w.model) for w in wants}
+            for kind in kinds:
+                homes = homes_of(kind, kinds, [s.name for s in servers(count)])
+                usable = [
+                    h
+                    for h in homes
+                    if has[h, kind] >= version - 1 and (h, kind) not in loading
+                ]
+                assert usable or len(homes) == 1
+            for want in wants:
+                has[want.server, want.model] = want.version
+
+    def test_each_server_loads_every_second_version(self):
+        """As many loads are free as there are servers for one trainer."""
+        kinds = ["m", "n", "o"]
+        has = {(s.name, kind): 1 for s in servers(5) for kind in kinds}
+        loads = 0
+        for version in range(2, 22):
+            wants = plan_orders(servers(5), kinds, dict.fromkeys(kinds, version), has)
+            loads += len(wants)
+            for want in wants:
+                has[want.server, want.model] = want.version
+        assert loads / 20 / 3 <= 2
+
+    def test_servers_that_fell_behind_go_first(self):
+        kinds = ["m"]
+        has = {("e0", "m"): 4, ("e1", "m"): 1}
+        wants = plan_orders(servers(2), kinds, {"m": 5}, has)
+        assert wants[0].server == "e1"
+
+    def test_an_unknown_version_is_not_ordered_blindly(self):
+        assert plan_orders(servers(1), ["m"], {"m": 5}, {}) == []
+
+
+async def run_with_versions(world, vms, seconds, first=2, every_ms=2_000):
+    """Name a new version now and then, and show it to all entry VMs."""
+    version = first
+    for _ in range(int(seconds * 1_000 / every_ms)):
+        for vm in vms:
+            vm.orders.name_version(ModelVersion("m", version))
+        version += 1
+        for _ in range(int(every_ms / 100)):
+            await world.clock.sleep_ms(100)
+            for vm in vms:
+                vm.refresh()
+    return version - 1
+
+
+class TestOrders:
+    def test_one_machine_orders_a_server(self):
+        async def scenario():
+            world = World(engines=4)
+            vms = [world.start(f"v{n}") for n in range(5)]
+            newest = await run_with_versions(world, vms, 12)
+            check_turns(world)
+            for server in world.port.servers.values():
+                if server.versions:
+                    holders = {order.holder for _, order in server.orders}
+                    assert len(holders) == 1
+                    assert server.versions["m"] >= newest - 1
+
+        run_virtual(scenario())
+
+    def test_a_successor_waits_for_the_lease_term(self):
+        """The machine that gave the last order loses power."""
+
+        async def scenario():
+            world = World(engines=3)
+            vms = [world.start(f"v{n}") for n in range(4)]
+            await run_with_versions(world, vms, 4)
+            holders = {
+                order.holder
+                for server in world.port.servers.values()
+                for _, order in server.orders
+            }
+            for vm in vms:
+                if vm.name in holders:
+                    vm.stop()
+            alive = [vm for vm in vms if vm.name not in holders]
+            assert alive
+            newest = await run_with_versions(world, alive, 16, first=4)
+            check_turns(world)
+            for name in ("e0", "e1", "e2"):
+                assert world.port.servers[name].versions["m"] >= newest - 2
+
+        run_virtual(scenario())
+
+    @pytest.mark.parametrize("down_ms", [500, 3_000, 9_000])
+    def test_a_machine_cut_from_the_store_stops_ordering(self, down_ms):
+        async def scenario():
+            world = World(engines=3)
+            vms = [world.start(f"v{n}") for n in range(3)]
+            await run_with_versions(world, vms, 4)
+            cut = next(vm for vm in vms if vm.ledger.holds("e0"))
+            cut.store.faults.down = True
+            await run_with_versions(world, vms, down_ms / 1_000, 4, 500)
+            cut.store.faults.down = False
+            await run_with_versions(world, vms, 6, 40, 1_000)
+            check_turns(world)
+
+        run_virtual(scenario())
+
+    def test_an_order_is_not_sent_after_its_window(self):
+        """The machine is suspended between its write and its order."""
+
+        async def scenario():
+            world = World(engines=1)
+            vm = world.start("a")
+            permit = await vm.ledger.permit("e0")
+            assert vm.ledger.is_valid(permit)
+            await world.clock.sleep_ms(1_000)
+            assert not vm.ledger.is_valid(permit)
+
+        run_virtual(scenario())
+
+    def test_an_order_carried_out_late_is_harmless(self):
+        """It names the number of orders accepted, which has moved on."""
+
+        async def scenario():
+            world = World(engines=1)
+            vm = world.start("a")
+            vm.orders.name_version(ModelVersion("m", 2))
+            await world.clock.sleep_ms(3_000)
+            vm.refresh()
+            late = world.port.servers["e0"].orders[0][1]
+            assert late.accepted_orders == 0
+            server = world.listed()[0]
+            assert (await world.port.order(server.target, late)).ok_value == 409
+
+        run_virtual(scenario())
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
@@ -36,8 +36,8 @@
         Duration of work relative to the usual one.
     mode : str
         ``"serves"``, ``"dark"`` (silent), ``"refuses"`` (full), ``"resets"`` (breaks
-        the connection after it began to run), ``"fails"`` (500) or ``"absent"``
-        (accepts no connection).
+        the connection after it began to run), ``"crashes"`` (the same, and then it is
+        absent), ``"fails"`` (500) or ``"absent"`` (accepts no connection).
     sent : list of ServerRequest
         Requests that arrived.
     ran : list of str
@@ -184,6 +184,9 @@
             head = AnswerHead(503, (), not_run=True, load=self.load_of(target))
             return Ok(FakeAnswer(self, target, request, output, head))
         target.ran.append(request.request_id)
+        if target.mode == "crashes":
+            target.mode = "absent"
+            return Err(StepError("open", server.name, "connection reset"))
         if target.mode == "resets":
             return Err(StepError("open", server.name, "connection reset"))
         if not output.events:
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -4,35 +4,20 @@
 from dataclasses import dataclass, field
 
 from ebonylb.adapters import NullMetrics
-from ebonylb.batches import (
-    Batch,
-    BatchBoard,
-    BatchDuty,
-    BatchHeader,
-    BatchItem,
-    BatchRepository,
-    ItemPlacement,
-    ItemRunner,
-)
-from ebonylb.batches.rows import PROGRESS_TABLE
+from ebonylb.batches import Batch, BatchHeader, BatchItem
 from ebonylb.edges.server_port import ModelVersion
-from ebonylb.fleet import ListedServer, ServerChoice, ServerDirectory, ServerStage
+from ebonylb.fleet import ListedServer, ServerStage
 from ebonylb.fleet.choice import Place
-from ebonylb.forwarding import Forwarder
-from ebonylb.forwarding.strikes import TABLE as STRIKES_TABLE
-from ebonylb.forwarding.strikes import CrashStrikes
-from ebonylb.orders import OrderDuty, OrderLedger
-from ebonylb.orders.ledger import TABLE as ORDERS_TABLE
 from ebonylb.routes import (
     Configuration,
     EngineShape,
     Route,
     RouteKind,
-    RouteTable,
     ServiceSpec,
     Target,
 )
-from ebonylb.storage.follower import TableFollower
+from ebonylb.service.duties import Identity, Outside, SiteDuties
+from ebonylb.service.site_settings import Bounds
 
 from ..histories.virtual_time import LoopClock
 from .row_store import MemoryRowStore, StoreData
@@ -105,50 +90,22 @@
 
     def __post_init__(self) -> None:
         """Build the duties and begin to follow the store."""
-        clock = self.world.clock
-        metrics = NullMetrics()
-        self.store = MemoryRowStore(self.world.data, clock)
-        self.routes = RouteTable()
-        self.routes.apply(self.world.configuration)
-        self.directory = ServerDirectory(clock)
-        region = REGIONS[self.failure_domain]
-        place = Place(self.failure_domain, region, REGIONS)
-        choice = ServerChoice(self.directory, clock, place)
-        self.strikes = CrashStrikes(self.store, clock)
-        port = self.world.port
-        self.forwarder = Forwarder(
-            self.routes, self.directory, choice, port, self.strikes, clock, metrics
-        )
-        self.ledger = OrderLedger(
-            self.store, clock, self.name, self.incarnation, self.world.lease_ms
-        )
-        self.orders = OrderDuty(
-            self.name, self.routes, self.directory, self.ledger, port, clock, metrics
+        world = self.world
+        self.store = MemoryRowStore(world.data, world.clock)
+        place = Place(self.failure_domain, REGIONS[self.failure_domain], REGIONS)
+        duties = SiteDuties(
+            Identity(self.name, self.incarnation, place),
+            Outside(self.store, world.port, world.clock, NullMetrics()),
+            Bounds(lease_ms=world.lease_ms),
+            65_536,
         )
-        self.board = BatchBoard(clock)
-        self.follower = TableFollower(self.store, clock, PROGRESS_TABLE, self.board)
-        self.placement = ItemPlacement(self.directory, choice, clock)
-        runner = ItemRunner(self.placement, self.directory, port, clock, metrics)
-        self.batches = BatchDuty(
-            self.name,
-            self.incarnation,
-            self.routes,
-            self.board,
-            self.follower,
-            BatchRepository(self.store, 65_536),
-            runner,
-            clock,
-            metrics,
-            120_000,
-        )
-        followers = [
-            self.follower,
-            TableFollower(self.store, clock, ORDERS_TABLE, self.ledger),
-            TableFollower(self.store, clock, STRIKES_TABLE, self.strikes),
-        ]
-        work = [follower.run() for follower in followers]
-        work += [self.batches.watch(), self.orders.run()]
-        self.tasks = [asyncio.create_task(task) for task in work]
+        self.routes, self.directory = duties.routes, duties.directory
+        self.forwarder, self.strikes = duties.forwarder, duties.strikes
+        self.ledger, self.orders = duties.ledger, duties.orders
+        self.board, self.batches = duties.board, duties.batches
+        self.placement = duties.placement
+        self.routes.apply(world.configuration)
+        self.tasks = [asyncio.create_task(work) for work in duties.work()]
         self.refresh()
 
     def refresh(self) -> None:
