standins: the users' platform over HTTP, and tests of the real process against it

Cause: make test drove nothing of the platform's adapter. Change: store, engines and plain servers speak the published protocol on loopback; ten scenarios run the program as processes (kill, SIGTERM, spoiled answers, store down, configuration, weights). Conclusion: the adapter is covered without the users' kit.

--- /dev/null
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_servers.py
@@ -0,0 +1,196 @@
+"""Backend servers of the users' platform over HTTP."""
+
+import asyncio
+import json
+from collections import Counter
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+EVENT_S = 0.02
+LOAD_S = 0.4
+
+
+def event_text(request_id: str, number: int) -> str:
+    """Return the data of an event; the same at every server."""
+    return f"{request_id}/{number}"
+
+
+@dataclass
+class Order:
+    """An order that arrived, for the check that one machine orders at a time."""
+
+    at_s: float
+    holder: str
+    fence: int
+    status: int
+
+
+@dataclass
+class HttpServer:
+    """One backend server.
+
+    Attributes
+    ----------
+    begun : Counter of str
+        Runs by request id.
+    spoil : str
+        ``""``, ``"reset"`` (runs and breaks the connection), ``"shed"`` (refuses) or
+        ``"cut"`` (ends its answer early).
+    leaving_since_s : float or None
+        When its leaving was acknowledged by the store.
+    """
+
+    name: str
+    service: str
+    models: tuple[str, ...] = ()
+    slots: int = 8
+    versions: dict[str, int] = field(default_factory=dict)
+    begun: Counter[str] = field(default_factory=Counter)
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
+    orders: list[Order] = field(default_factory=list)
+    refused: set[str] = field(default_factory=set)
+    running: int = 0
+    accepted: int = 0
+    loading: bool = False
+    spoil: str = ""
+    leaving_since_s: float | None = None
+
+    def __post_init__(self) -> None:
+        """Begin with version 1 of every model."""
+        self.versions = dict.fromkeys(self.models, 1)
+
+    def app(self) -> web.Application:
+        """Return the application."""
+        app = web.Application()
+        app.router.add_get("/api/report", self.report)
+        app.router.add_post("/api/order", self.order)
+        app.router.add_route("*", "/{path:.*}", self.serve)
+        return app
+
+    def entry(self, address: str, zone: str, state: str = "ready") -> bytes:
+        """Return the row with which the server registers itself."""
+        fields = {
+            "Service": self.service,
+            "Address": address,
+            "Zone": zone,
+            "Version": "v1",
+            "Slots": self.slots,
+            "State": state,
+            "ColdRemainingMs": 0,
+            "Sequence": 1,
+            "born": 1_700_000_000_000,
+            "Models": [{"Name": m, "Version": v} for m, v in self.versions.items()],
+        }
+        return json.dumps(fields).encode()
+
+    def expects_another(self, request: web.Request) -> bool:
+        """Tell whether the request is meant for another server."""
+        expected = request.headers.get("Ebonylb-Expect-Instance")
+        return expected is not None and expected != self.name
+
+    def load_header(self) -> dict[str, str]:
+        """Return the load as a header."""
+        return {"Ebonylb-Server-Load": f"{self.running},0,{self.slots},100"}
+
+    async def report(self, request: web.Request) -> web.Response:
+        """Return the state."""
+        if self.expects_another(request):
+            return web.Response(status=421)
+        models = [{"Name": m, "Version": v} for m, v in self.versions.items()]
+        state = {"Busy": self.loading, "Sequence": self.accepted, "Models": models}
+        return web.json_response(state)
+
+    async def order(self, request: web.Request) -> web.Response:
+        """Take an order."""
+        body = await request.json()
+        now = asyncio.get_running_loop().time()
+        status = 202
+        if self.expects_another(request):
+            status = 421
+        elif self.loading or body.get("Expected", self.accepted) != self.accepted:
+            status = 409
+        elif self.versions.get(body["Model"]) == body["Version"]:
+            status = 200
+        self.orders.append(Order(now, body["Holder"], body["Fence"], status))
+        if status == 202:
+            self.accepted += 1
+            self.loading = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(LOAD_S, self.loaded, body["Model"], body["Version"])
+        return web.Response(status=status)
+
+    def loaded(self, model: str, version: int) -> None:
+        """Put new weights in place."""
+        self.loading = False
+        self.versions[model] = version
+
+    async def serve(self, request: web.Request) -> web.StreamResponse:
+        """Run a request."""
+        request_id = request.headers.get("Ebonylb-Request-Id", "")
+        headers = {"Ebonylb-Request-Id": request_id, **self.load_header()}
+        body = await request.read()
+        self.arrivals.append((asyncio.get_running_loop().time(), request_id))
+        if self.expects_another(request):
+            headers["Ebonylb-Not-Executed"] = "1"
+            return web.Response(status=421, headers=headers)
+        if self.spoil == "shed" or self.running >= self.slots:
+            self.refused.add(request_id)
+            headers["Ebonylb-Not-Executed"] = "1"
+            return web.Response(status=503, headers=headers)
+        self.begun[request_id] += 1
+        headers["Ebonylb-Response-Seal"] = f"seal.{request_id}"
+        self.running += 1
+        try:
+            if self.models:
+                return await self.stream(request, request_id, headers)
+            await asyncio.sleep(0.01)
+            if self.spoil == "reset":
+                request.transport.abort()
+                raise asyncio.CancelledError
+            answer = f"{request_id}:".encode() + body
+            if self.spoil == "cut":
+                return await self.cut_short(request, headers, answer)
+            return web.Response(body=answer, headers=headers)
+        finally:
+            self.running -= 1
+
+    async def cut_short(
+        self, request: web.Request, headers: dict[str, str], answer: bytes
+    ) -> web.StreamResponse:
+        """Announce more bytes than are sent."""
+        response = web.StreamResponse(headers=headers)
+        response.content_length = len(answer) + 100
+        await response.prepare(request)
+        await response.write(answer)
+        request.transport.abort()
+        raise asyncio.CancelledError
+
+    async def stream(
+        self, request: web.Request, request_id: str, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        """Stream the events of an item; their number is the end of its path."""
+        model = request.headers.get("Ebonylb-Model", "")
+        total = int(request.path.rsplit("/", 1)[-1])
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        version = self.versions[model]
+        if first <= total:
+            headers["Ebonylb-Weight-Versions"] = str(version)
+        headers["Content-Type"] = "text/event-stream"
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        for number in range(first, total + 1):
+            await asyncio.sleep(EVENT_S)
+            if self.spoil in ("reset", "cut") and number == total // 2:
+                await response.write(f"id: {number}\nda".encode())
+                request.transport.abort()
+                raise asyncio.CancelledError
+            change = ""
+            if self.versions[model] != version:
+                version = self.versions[model]
+                change = f"ebonylb-weight-versions: {version}\n"
+            text = event_text(request_id, number)
+            block = f"{change}id: {number}\ndata: {text}\n\n"
+            await response.write(block.encode())
+        await response.write_eof()
+        return response
--- /dev/null
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
@@ -0,0 +1,284 @@
+"""A whole site on loopback: store, backend servers, and entry VMs as processes."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+
+from ebonylb.platform.node_settings import METRICS_PORT
+
+from .http_servers import HttpServer
+from .http_store import HttpStore
+
+ENGINE, DESK = "lm", "desk"
+MODELS = ("m", "n")
+ZONES = {"north": "gorge", "south": "gorge", "high": "highland"}
+HOST = "site.example"
+READY_LIMIT_S = 20.0
+
+
+def free_port(ip: str) -> int:
+    """Return a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        return probe.getsockname()[1]
+
+
+def configuration(version: int, **batch_fields: Any) -> bytes:
+    """Return the operator's configuration."""
+    batch = {
+        "Name": "batch",
+        "Host": HOST,
+        "Prefix": "/batch/",
+        "Kind": "rollout",
+        "Service": ENGINE,
+        "TimeoutMs": 10_000,
+        "TargetLatencyMs": 400,
+        "Attempts": 3,
+        "RetentionS": 40.0,
+        "ResultDeadlineMs": 7_500,
+        "Resumable": True,
+        "Sticky": True,
+    } | batch_fields
+    plain = {"Host": HOST, "Service": DESK, "TimeoutMs": 2_000, "Attempts": 2}
+    routes = [
+        batch,
+        {"Name": "ask", "Prefix": "/ask/", "Kind": "idempotent", **plain},
+        {"Name": "book", "Prefix": "/book/", "Kind": "non_idempotent", **plain},
+    ]
+    engine = {"Slots": 8, "KvCapacity": 100_000, "Stride": 44}
+    engine["Models"] = [{"Name": name} for name in MODELS]
+    services = [{"Name": ENGINE, "Engine": engine}, {"Name": DESK}]
+    limits = {"MaxBodyBytes": 33_554_432, "IdleTimeoutMs": 15_000}
+    return json.dumps(
+        {
+            "Version": version,
+            "Routes": routes,
+            "Services": services,
+            "Limits": limits,
+        }
+    ).encode()
+
+
+@dataclass
+class EntryProcess:
+    """One entry VM as a process.
+
+    Attributes
+    ----------
+    front, ready : str
+        Addresses for callers and for the balancer.
+    """
+
+    name: str
+    ip: str
+    zone: str
+    store: str
+    folder: Path
+    front: str = ""
+    ready: str = ""
+    process: asyncio.subprocess.Process | None = None
+
+    def write_settings(self) -> Path:
+        """Write the settings file as the platform does."""
+        self.front = self.front or f"{self.ip}:{free_port(self.ip)}"
+        self.ready = self.ready or f"{self.ip}:{free_port(self.ip)}"
+        lines = [
+            f"Node={self.name}",
+            f"Zone={self.zone}",
+            f"Region={ZONES[self.zone]}",
+            *(f"Zones.{zone}={region}" for zone, region in ZONES.items()),
+            f"Ip={self.ip}",
+            f"Listen.Front={self.front}",
+            f"Listen.Ready={self.ready}",
+            "PortRange=1,2",
+            f"Platform.Address={self.store}",
+            "Platform.RowBytes=65536",
+            "Bounds.LeaseMs=3000",
+            "Bounds.GraceS=8",
+            "Unknown.Field=passed over",
+        ]
+        path = self.folder / f"{self.name}.conf"
+        path.write_text("\n".join(lines) + "\n")
+        return path
+
+    async def start(self) -> None:
+        """Start the process; its log goes to a file that stays readable."""
+        path = self.write_settings()
+        with (self.folder / f"{self.name}.log").open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "ebonylb.service.site_main",
+                env={**os.environ, "EBONYLB_NODE_FILE": str(path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it still runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def kill(self) -> None:
+        """End the process at once."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        if self.process is not None:
+            await self.process.wait()
+
+    def log_lines(self) -> list[dict[str, Any]]:
+        """Return the log as decoded lines."""
+        text = (self.folder / f"{self.name}.log").read_text()
+        return [json.loads(x) for x in text.splitlines() if x.startswith("{")]
+
+
+@dataclass
+class HttpSite:
+    """Store, servers and entry VMs of one site; an async context manager."""
+
+    entry_vms: int = 3
+    engines: int = 2
+    desks: int = 2
+    seed: int = 0
+    first_ip: int = 10
+    store: HttpStore = field(init=False)
+    servers: dict[str, HttpServer] = field(default_factory=dict)
+    addresses: dict[str, str] = field(default_factory=dict)
+    vms: dict[str, EntryProcess] = field(default_factory=dict)
+    resources: contextlib.AsyncExitStack = field(
+        default_factory=contextlib.AsyncExitStack
+    )
+
+    async def __aenter__(self) -> "HttpSite":
+        """Start everything and wait until the entry VMs are ready."""
+        self.store = HttpStore(self.seed)
+        self.folder = Path(
+            self.resources.enter_context(
+                tempfile.TemporaryDirectory(ignore_cleanup_errors=True)
+            )
+        )
+        self.store_address = await self.listen(self.store.app())
+        self.store.data.put("op", "config", configuration(1))
+        zones = list(ZONES)
+        for number in range(self.engines):
+            server = HttpServer(f"engine-{number}", ENGINE, MODELS)
+            await self.add_server(server, zones[number % 3])
+        for number in range(self.desks):
+            await self.add_server(HttpServer(f"desk-{number}", DESK), zones[number % 3])
+        self.http = await self.resources.enter_async_context(
+            aiohttp.ClientSession(connector=aiohttp.TCPConnector(force_close=True))
+        )
+        for number in range(self.entry_vms):
+            await self.add_entry_vm(f"vm-{number}", zones[number % 3])
+        await asyncio.gather(*(self.wait_ready(vm) for vm in self.vms.values()))
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        """Stop everything that was started."""
+        await asyncio.gather(*(vm.kill() for vm in self.vms.values()))
+        await self.resources.aclose()
+
+    async def listen(self, app: web.Application) -> str:
+        """Serve an application on a free port and return its address."""
+        runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
+        await runner.setup()
+        self.resources.push_async_callback(runner.cleanup)
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = runner.addresses[0][:2]
+        return f"{host}:{port}"
+
+    async def add_server(self, server: HttpServer, zone: str) -> None:
+        """Start a backend server and register it."""
+        self.servers[server.name] = server
+        self.addresses[server.name] = await self.listen(server.app())
+        self.register(server, zone)
+
+    def register(self, server: HttpServer, zone: str, state: str = "ready") -> None:
+        """Write the server's row."""
+        entry = server.entry(self.addresses[server.name], zone, state)
+        self.store.data.put("servers", server.name, entry)
+
+    def store_for(self, name: str) -> str:
+        """Return the store's address as an entry VM sees it."""
+        return self.store_address
+
+    async def add_entry_vm(self, name: str, zone: str) -> EntryProcess:
+        """Start an entry VM on an address of its own."""
+        ip = f"127.0.0.{self.first_ip + len(self.vms)}"
+        vm = EntryProcess(name, ip, zone, self.store_for(name), self.folder)
+        self.vms[name] = vm
+        await vm.start()
+        return vm
+
+    async def wait_ready(self, vm: EntryProcess) -> None:
+        """Wait until an entry VM answers that it is ready."""
+        loop = asyncio.get_running_loop()
+        ends = loop.time() + READY_LIMIT_S
+        while loop.time() < ends:
+            with contextlib.suppress(aiohttp.ClientError, OSError):
+                async with self.http.get(f"http://{vm.ready}/api/ready") as answer:
+                    if answer.status == 200:
+                        return
+            await asyncio.sleep(0.05)
+        raise TimeoutError(f"{vm.name} did not become ready")
+
+    async def call(
+        self,
+        vm: EntryProcess,
+        method: str,
+        path: str,
+        request_id: str = "",
+        body: bytes = b"",
+        **headers: str,
+    ) -> tuple[int, bytes, dict[str, str]]:
+        """Send one request to an entry VM and read the whole answer."""
+        fields = {"Host": HOST, **{k.replace("_", "-"): v for k, v in headers.items()}}
+        if request_id:
+            fields["Ebonylb-Request-Id"] = request_id
+        async with self.http.request(
+            method,
+            f"http://{vm.front}{path}",
+            data=body or None,
+            headers=fields,
+            timeout=aiohttp.ClientTimeout(total=15),
+        ) as answer:
+            return answer.status, await answer.read(), dict(answer.headers)
+
+    async def call_metrics(self, vm: EntryProcess) -> tuple[int, bytes, dict[str, str]]:
+        """Read the metrics page of an entry VM."""
+        async with self.http.get(f"http://{vm.ip}:{METRICS_PORT}/metrics") as answer:
+            return answer.status, await answer.read(), dict(answer.headers)
+
+    def batch_body(
+        self, batch_id: str, lengths: list[int], step: int = 0, least: int = 1
+    ) -> bytes:
+        """Return a submission whose items have streams of these lengths."""
+        items = [
+            {
+                "Id": f"{batch_id}-{number}",
+                "Path": f"/batch/{number}/{events}",
+                "Headers": {
+                    "Ebonylb-Model": "m",
+                    "Ebonylb-Token-Usage": f"100,{events * 44}",
+                    "Ebonylb-Prompt-Prefix": f"ab{number // 4}:100",
+                },
+                "Body": "q83vEjRWeJA=",
+                "Tokens": 100 + events * 44,
+                "Group": f"g{number // 4}",
+            }
+            for number, events in enumerate(lengths)
+        ]
+        fields = {"Step": step, "Model": "m", "MinVersion": least, "TargetGroups": 1}
+        return json.dumps({**fields, "Items": items}).encode()
--- /dev/null
+++ b/packages/ebonylb_standins/tests/test_site.py
@@ -0,0 +1,220 @@
+"""The program of the users' platform, as processes, over its adapter."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+
+import pytest
+
+from ebonylb_standins.site.http_servers import event_text
+from ebonylb_standins.site.http_site import DESK, HttpSite, configuration
+
+LIMIT_S = 20.0
+
+
+async def until(condition, what, limit_s=LIMIT_S):
+    ends = asyncio.get_running_loop().time() + limit_s
+    while not condition():
+        assert asyncio.get_running_loop().time() < ends, what
+        await asyncio.sleep(0.05)
+
+
+async def submit(site, vm, batch_id, lengths, **fields):
+    body = site.batch_body(batch_id, lengths, **fields)
+    status, _, _ = await site.call(vm, "POST", "/batch/x", batch_id, body)
+    return status
+
+
+async def read_all(site, vm, batch_id, total):
+    found = []
+    ends = asyncio.get_running_loop().time() + LIMIT_S
+    while len(found) < total:
+        assert asyncio.get_running_loop().time() < ends, f"{len(found)} of {total}"
+        status, body, _ = await site.call(
+            vm,
+            "GET",
+            f"/api/lots/{batch_id}?After={len(found)}",
+            Ebonylb_Wait_Ms="1000",
+        )
+        if status != 200:
+            await asyncio.sleep(0.1)
+            continue
+        page = json.loads(body)
+        assert page["Total"] == total
+        assert page["Next"] == len(found) + len(page["Results"])
+        found.extend(page["Results"])
+    return found
+
+
+def check_results(batch_id, lengths, results):
+    expected = {
+        f"{batch_id}-{number}": "\n".join(
+            event_text(f"{batch_id}-{number}", event) for event in range(1, events + 1)
+        )
+        for number, events in enumerate(lengths)
+    }
+    assert {r["Id"]: r["Text"] for r in results} == expected
+    assert all(r["State"] == "succeeded" for r in results)
+
+
+@pytest.mark.xdist_group("site")
+class TestWholePath:
+    def test_requests_and_batches_are_served(self):
+        async def scenario():
+            async with HttpSite(first_ip=20) as site:
+                first, second, third = site.vms.values()
+                status, body, headers = await site.call(
+                    first, "POST", "/ask/1", "q1", b"hello", Ebonylb_Deadline_Ms="2000"
+                )
+                assert (status, body) == (200, b"q1:hello")
+                assert headers["Ebonylb-Response-Seal"] == "seal.q1"
+                assert headers["Ebonylb-Request-Id"] == "q1"
+                lengths = [3, 10, 1, 40]
+                assert await submit(site, first, "b1", lengths) == 202
+                assert await submit(site, second, "b1", lengths) == 202
+                results = await read_all(site, third, "b1", 4)
+                check_results("b1", lengths, results)
+                again = await read_all(site, first, "b1", 4)
+                assert again == results
+                status, body, _ = await site.call(
+                    second, "GET", "/api/items/b1?Id=b1-2"
+                )
+                assert status == 200
+                assert len(body) == 8
+                for vm in (second, third):
+                    status, _, _ = await site.call(vm, "DELETE", "/api/lots/b1")
+                    assert status == 200
+                status, _, _ = await site.call(third, "GET", "/api/lots/none")
+                assert status == 404
+                status, page, _ = await site.call_metrics(first)
+                assert status == 200
+                assert b"ebonylb_forward_status_200_total 1" in page
+
+        asyncio.run(scenario())
+
+    def test_a_new_configuration_is_in_force_everywhere(self):
+        async def scenario():
+            async with HttpSite(first_ip=30) as site:
+                document = json.loads(configuration(7))
+                document["Routes"].append(
+                    {
+                        "Name": "new",
+                        "Host": "site.example",
+                        "Prefix": "/ask/deeper/",
+                        "Kind": "idempotent",
+                        "Service": "nobody",
+                    }
+                )
+                site.store.data.put("op", "config", json.dumps(document).encode())
+                await asyncio.sleep(1.0)
+                for vm in site.vms.values():
+                    status, body, headers = await site.call(
+                        vm, "POST", "/ask/deeper/1", "q2"
+                    )
+                    assert status == 503
+                    assert json.loads(body)["reason"] == "no_backend_server"
+                    assert float(headers["Retry-After"]) > 0
+
+        asyncio.run(scenario())
+
+    def test_versions_reach_the_engines_and_the_results(self):
+        async def scenario():
+            async with HttpSite(first_ip=40, engines=3) as site:
+                (vm, *_) = site.vms.values()
+                row = json.dumps({"Model": "m", "Version": 2}).encode()
+                site.store.data.put("op", "version/m", row)
+                engines = [s for s in site.servers.values() if s.models]
+                await until(
+                    lambda: any(s.versions["m"] == 2 for s in engines), "no load"
+                )
+                assert await submit(site, vm, "b2", [4] * 8, least=2) == 202
+                results = await read_all(site, vm, "b2", 8)
+                assert {tuple(r["Versions"]) for r in results} == {(2,)}
+
+        asyncio.run(scenario())
+
+
+@pytest.mark.xdist_group("site")
+class TestFailures:
+    def test_sigterm_cuts_off_nothing(self):
+        async def scenario():
+            async with HttpSite(first_ip=50) as site:
+                first, second, _ = site.vms.values()
+                lengths = [60, 5]
+                assert await submit(site, first, "b3", lengths) == 202
+                call = asyncio.create_task(site.call(first, "POST", "/ask/1", "q3"))
+                await asyncio.sleep(0.005)
+                first.send(signal.SIGTERM)
+                assert (await call)[0] == 200
+                results = await read_all(site, second, "b3", 2)
+                check_results("b3", lengths, results)
+                assert await asyncio.wait_for(first.process.wait(), 8) == 0
+
+        asyncio.run(scenario())
+
+    def test_a_killed_holder_loses_no_batch(self):
+        async def scenario():
+            async with HttpSite(first_ip=60) as site:
+                first, second, _ = site.vms.values()
+                lengths = [80, 5, 5]
+                assert await submit(site, first, "b4", lengths) == 202
+                await asyncio.sleep(0.4)
+                await first.kill()
+                check_results("b4", lengths, await read_all(site, second, "b4", 3))
+
+        asyncio.run(scenario())
+
+    @pytest.mark.parametrize("spoil", ["reset", "cut", "shed"])
+    def test_a_spoiled_answer_never_reaches_a_caller(self, spoil):
+        async def scenario():
+            ip = {"reset": 70, "cut": 80, "shed": 90}[spoil]
+            async with HttpSite(first_ip=ip) as site:
+                (vm, *_) = site.vms.values()
+                desk = next(s for s in site.servers.values() if s.service == DESK)
+                desk.spoil = spoil
+                for number in range(10):
+                    name = f"q{number}"
+                    status, body, _ = await site.call(vm, "POST", "/ask/1", name, b"x")
+                    assert (status, body) == (200, f"{name}:x".encode())
+                    name = f"n{number}"
+                    status, body, _ = await site.call(vm, "POST", "/book/1", name, b"x")
+                    runs = sum(s.begun[name] for s in site.servers.values())
+                    assert runs <= 1
+                    assert status in (200, 502, 503)
+                    assert (status != 503) or runs == 0
+
+        asyncio.run(scenario())
+
+    def test_a_store_that_is_down_stops_no_request(self):
+        async def scenario():
+            async with HttpSite(first_ip=100) as site:
+                (vm, *_) = site.vms.values()
+                site.store.faults.down = True
+                await asyncio.sleep(1.2)
+                status, _, _ = await site.call(vm, "POST", "/ask/1", "q5")
+                assert status == 200
+                assert await submit(site, vm, "b5", [1]) == 503
+                site.store.faults.down = False
+                await site.wait_ready(vm)
+                assert await submit(site, vm, "b5", [1]) == 202
+
+        asyncio.run(scenario())
+
+    def test_unreadable_settings_are_refused_with_their_key(self, tmp_path):
+        async def scenario():
+            path = tmp_path / "node.conf"
+            path.write_text("Node=a\nZone=z\n")
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "ebonylb.service.site_main",
+                env={**os.environ, "EBONYLB_NODE_FILE": str(path)},
+                stderr=asyncio.subprocess.PIPE,
+            )
+            _, error = await process.communicate()
+            assert process.returncode == 3
+            assert b"Region is missing" in error
+
+        asyncio.run(scenario())
