ebonyctl: trace explains a request from log files alone

Cause: after a complaint only logs are left, and they lie on several entry VMs. Change: one line for each refusal of a batch call; ebonyctl trace joins the lines of a request, an item and its batch with what happened around them.

--- a/packages/ebonyctl/src/ebonyctl/cli.py
+++ b/packages/ebonyctl/src/ebonyctl/cli.py
@@ -3,12 +3,12 @@
 import asyncio
 import os
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from typing import Annotated
 
 import cappa
 
-from . import inspection, sheets
+from . import inspection, sheets, traces
 from .client import AdminClient
 from .exits import CommandError, ExitCode
 from .output import Output
@@ -19,6 +19,34 @@
 SheetPath = Annotated[str, cappa.Arg(value_name="SHEET", help="Sheet file.")]
 
 
+@cappa.command(
+    help="Explain a request, an item or a batch from log files.",
+    epilog="Example: ebonyctl trace 9c41d07be2a35f68 entry-1.log entry-2.log",
+)
+@dataclass
+class Trace:
+    """Explain a request from the logs of the entry VMs, without a running system."""
+
+    request: Annotated[
+        str, cappa.Arg(value_name="ID", help="Id of the request, item or batch.")
+    ]
+    logs: Annotated[
+        list[str], cappa.Arg(value_name="LOG", num_args=-1, help="Log files.")
+    ]
+
+    def run(self, output: Output) -> None:
+        """Print the lines about the request."""
+        found = traces.trace(traces.read_lines(self.logs), self.request)
+        if not found:
+            fix = "give the logs of all entry VMs, and of the time of the request"
+            message = f"{self.request}: no line names it: {fix}"
+            raise CommandError(ExitCode.NOT_FOUND, message)
+        output.result(
+            {"lines": [asdict(line) for line in found]},
+            *(traces.show(line) for line in found),
+        )
+
+
 class Online:
     """Base of the commands that need a running system."""
 
@@ -179,7 +207,7 @@
     """All commands with their common options."""
 
     command: cappa.Subcommands[
-        Check | Apply | Diff | Status | Shares | Audit | Drain | Explain
+        Check | Apply | Diff | Status | Shares | Audit | Drain | Explain | Trace
     ]
     endpoint: Annotated[
         list[str],
@@ -233,6 +261,9 @@
     if isinstance(command, Check):
         sheets.check(output, command.sheet, command.settings)
         return
+    if isinstance(command, Trace):
+        command.run(output)
+        return
     async with connect(options, output) as client, output.progress():
         await command.run(client, output)
 
--- /dev/null
+++ b/packages/ebonyctl/tests/test_traces.py
@@ -0,0 +1,57 @@
+"""Explaining a request from log files."""
+
+import json
+
+import pytest
+
+from ebonyctl import cli, traces
+
+LINES = [
+    ("10:00:01", "a", "batch accepted", {"batch": "b1", "holder": "a"}),
+    ("10:00:02", "a", "store lost", {"table": "batches", "cause": "TimeoutError"}),
+    ("10:00:02", "c", "store lost", {"table": "op"}),
+    ("10:00:03", "b", "batch taken over", {"batch": "b1", "from": "a"}),
+    ("10:00:04", "b", "item ended", {"item": "i1", "batch": "b1", "events": 3}),
+    ("10:00:05", "b", "item ended", {"item": "i2", "batch": "b1", "events": 9}),
+    ("10:00:06", "a", "request ended", {"request_id": "q1", "status": 503}),
+]
+
+
+@pytest.fixture
+def log(tmp_path):
+    path = tmp_path / "all.log"
+    text = ["not json"]
+    for time, vm, message, fields in LINES:
+        line = {"time": time, "entry_vm": vm, "message": message, "level": "INFO"}
+        text.append(f"  1.5 {vm} " + json.dumps(line | fields))
+    path.write_text("\n".join(text))
+    return str(path)
+
+
+class TestTrace:
+    def test_a_request_leads_to_its_line(self, log):
+        found = traces.trace(traces.read_lines([log]), "q1")
+        assert [line.message for line in found] == ["request ended"]
+
+    def test_an_item_leads_to_its_batch_and_what_happened_around(self, log):
+        found = traces.trace(traces.read_lines([log]), "i1")
+        assert [line.message for line in found] == [
+            "batch accepted",
+            "store lost",
+            "batch taken over",
+            "item ended",
+        ]
+
+    def test_the_command_prints_the_story(self, log, capsys):
+        assert cli.main(["trace", "i1", log]) == 0
+        shown = capsys.readouterr().out
+        assert "batch taken over" in shown
+        assert "i2" not in shown
+
+    def test_an_unknown_id_is_said(self, log, capsys):
+        assert cli.main(["trace", "nobody", log]) == 6
+        assert "no line names it" in capsys.readouterr().err
+
+    def test_a_missing_file_is_said(self, capsys):
+        assert cli.main(["trace", "i1", "/nowhere.log"]) == 3
+        assert "cannot be read" in capsys.readouterr().err
--- a/packages/ebonylb/src/ebonylb/platform/ingress.py
+++ b/packages/ebonylb/src/ebonylb/platform/ingress.py
@@ -104,13 +104,31 @@
         return response
 
     def refusal(
-        self, refusal: Refusal, request_id: str, status: int | None = None
+        self,
+        refusal: Refusal,
+        request_id: str,
+        status: int | None = None,
+        logged: bool = True,
     ) -> web.Response:
-        """Return a refusal in full: outcome, reason, time to come back and id."""
+        """Return a refusal in full: outcome, reason, time to come back and id.
+
+        The forwarder logs the end of its requests itself.
+        """
         if status is None:
             status = STATUS_OF_REASON.get(refusal.reason)
         if status is None:
             status = 503 if refusal.outcome is Outcome.NOT_RUN else 502
+        if logged:
+            logger.info(
+                "request refused",
+                extra={
+                    "request_id": request_id,
+                    "status": status,
+                    "outcome": refusal.outcome,
+                    "reason": refusal.reason,
+                    "retry_after_ms": refusal.retry_after_ms,
+                },
+            )
         body = {
             "outcome": refusal.outcome,
             "reason": refusal.reason,
@@ -159,7 +177,7 @@
         if isinstance(answer, CallerStream):
             return await self.pass_stream(request, answer)
         if answer.refusal is not None:
-            return self.refusal(answer.refusal, request_id, answer.status)
+            return self.refusal(answer.refusal, request_id, answer.status, logged=False)
         response = web.Response(status=answer.status, body=answer.body)
         response.headers.clear()
         for name, value in answer.headers:
