--- a/packages/ebonylb_standins/src/ebonylb_standins/demo.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/demo.py
@@ -11,6 +11,7 @@
 
 from . import caller, trainer
 from .cluster import Cluster
+from .site.demo import show_site
 from .streams import DemoError, StreamReader, require
 from .tasks import end_task
 from .text import whole_answer
@@ -356,11 +357,13 @@
     cluster = demo_cluster()
     print(
         f"{cluster.topology.name}, reduced, as separate processes on loopback; "
-        "takes about 10 s, Ctrl-C ends all of them",
+        "takes about 20 s, Ctrl-C ends all of them",
         flush=True,
     )
     try:
         outcomes = asyncio.run(run_demo(cluster, print_outcome))
+        outcomes.append(asyncio.run(run_part("the users' platform", show_site())))
+        print_outcome(outcomes[-1])
     except KeyboardInterrupt:
         print("interrupted; all processes have ended")
         raise SystemExit(EXIT_INTERRUPTED) from None
