soak: one process for each entry VM, whatever faults end in its start

Ruled out: the product (the process left over answered on its addresses and its log showed no error).

--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
@@ -90,6 +90,11 @@
     front: str = ""
     ready: str = ""
     process: asyncio.subprocess.Process | None = None
+    starting: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+    def is_running(self) -> bool:
+        """Tell whether the process runs."""
+        return self.process is not None and self.process.returncode is None
 
     def write_settings(self) -> Path:
         """Write the settings file as the platform does."""
@@ -115,7 +120,16 @@
         return path
 
     async def start(self) -> None:
-        """Start the process; its log goes to a file that stays readable."""
+        """Start the process, unless it runs; its log goes to a file.
+
+        Several faults may end in the same start: one process must not go unwatched.
+        """
+        async with self.starting:
+            if not self.is_running():
+                await self.launch()
+
+    async def launch(self) -> None:
+        """Start the process."""
         path = self.write_settings()
         with (self.folder / f"{self.name}.log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
@@ -128,15 +142,16 @@
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it still runs."""
-        if self.process is not None and self.process.returncode is None:
+        if self.is_running():
             self.process.send_signal(number)
 
     async def kill(self) -> None:
         """End the process at once."""
-        self.send(signal.SIGCONT)
-        self.send(signal.SIGKILL)
-        if self.process is not None:
-            await self.process.wait()
+        async with self.starting:
+            self.send(signal.SIGCONT)
+            self.send(signal.SIGKILL)
+            if self.process is not None:
+                await self.process.wait()
 
     def log_lines(self) -> list[dict[str, Any]]:
         """Return the log as decoded lines."""
@@ -163,6 +178,15 @@
     )
 
     async def __aenter__(self) -> "HttpSite":
+        """Start everything and wait until the entry VMs are ready."""
+        try:
+            await self.start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def start(self) -> None:
         """Start everything and wait until the entry VMs are ready."""
         self.store = HttpStore(self.seed)
         self.folder = Path(
@@ -184,7 +208,6 @@
         for number in range(self.entry_vms):
             await self.add_entry_vm(f"vm-{number}", zones[number % 3])
         await asyncio.gather(*(self.wait_ready(vm) for vm in self.vms.values()))
-        return self
 
     async def __aexit__(self, *error: object) -> None:
         """Stop everything that was started."""
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/proxy.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/proxy.py
@@ -82,7 +82,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, up: bool
     ) -> None:
         """Pass bytes on in one direction."""
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        with contextlib.suppress(OSError):
             while chunk := await reader.read(CHUNK_BYTES):
                 if self.weather.delay_s:
                     await asyncio.sleep(self.weather.delay_s)
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/run.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/run.py
@@ -76,9 +76,8 @@
 
     async def restart(self, vm: EntryProcess) -> None:
         """Start an entry VM again, unless another fault has done so."""
-        if vm.process is not None and vm.process.returncode is None:
-            return
-        self.up.discard(vm.name)
+        if not vm.is_running():
+            self.up.discard(vm.name)
         await vm.start()
 
     def keep_evidence(self, folder: Path, seed: int) -> None:
