--- a/packages/ebonylb/src/ebonylb/batches/__init__.py
+++ b/packages/ebonylb/src/ebonylb/batches/__init__.py
@@ -1,6 +1,7 @@
 """Batch jobs: kept in the platform's store, run by whichever entry VM holds them."""
 
 from .board import BatchBoard
+from .custody import BatchCustody
 from .duty import BatchDuty, ResultsPage
 from .holder import BatchHolder
 from .item_run import ItemRunner
@@ -11,6 +12,7 @@
 __all__ = [
     "Batch",
     "BatchBoard",
+    "BatchCustody",
     "BatchDuty",
     "BatchHeader",
     "BatchHolder",
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/batches/custody.py
@@ -0,0 +1,377 @@
+"""Which batches this entry VM runs: new ones, and those whose holder went silent."""
+
+import asyncio
+import logging
+from collections import Counter
+from collections.abc import Coroutine
+from typing import Any
+
+from result import Err
+from xxhash import xxh64_intdigest
+
+from ..edges import Clock, Metrics
+from ..outcomes import new_token
+from ..routes import RouteTable
+from ..storage.follower import TableFollower
+from .board import BatchBoard, Seen
+from .holder import BatchHolder
+from .item_run import ItemRunner
+from .model import Batch, BatchHeader, Progress
+from .repository import BatchRepository, StoredProgress
+
+logger = logging.getLogger(__name__)
+
+# Several heartbeats of a holder, so that one slow commit does not move a batch.
+SILENCE_MS = 2_600.0
+# Entry VMs take over at different times, so that they do not all read the batch.
+SPREAD_MS = 800.0
+RELEASED_SPREAD_MS = 250.0
+WATCH_MS = 150.0
+# A holder whose last commit is no older than this is taken to be alive: it commits at
+# least each 800 ms.
+ALIVE_MS = 1_500.0
+# A batch handed to another entry VM is taken back when it was not begun by then.
+HANDOVER_MS = 450.0
+# Items that one entry VM should have in progress for all routes together: 200 streams
+# with an event each 40 ms take about half a core of an entry VM.
+MOST_OPEN_ITEMS = 200
+# Kept beyond the agreed retention, since clocks of the entry VMs differ.
+DELETE_SLACK_MS = 60_000
+DELETE_CHECK_MS = 10_000
+# Pause before a batch that was lost to another entry VM is looked at again.
+RETRY_MS = 80.0
+
+
+class BatchCustody:
+    """The holders of this entry VM, and the choice of holders.
+
+    Parameters
+    ----------
+    name, incarnation : str
+        This entry VM and its start.
+    board : BatchBoard
+        Progress of all batches.
+    follower : TableFollower
+        Keeps the board; silence of a holder counts only while it is healthy.
+    retention_ms : float
+        Batches stay readable this long after their submission.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: str,
+        routes: RouteTable,
+        board: BatchBoard,
+        follower: TableFollower,
+        repository: BatchRepository,
+        runner: ItemRunner,
+        clock: Clock,
+        metrics: Metrics,
+        retention_ms: float,
+    ) -> None:
+        self.name = name
+        self.incarnation = incarnation
+        self.routes = routes
+        self.board = board
+        self.follower = follower
+        self.repository = repository
+        self.runner = runner
+        self.clock = clock
+        self.metrics = metrics
+        self.retention_ms = retention_ms
+        self.holders: dict[str, BatchHolder] = {}
+        self.claiming: set[str] = set()
+        self.handed_over: dict[str, tuple[int, float]] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.leaving = False
+        self.deleted_ms = 0.0
+        board.listeners.append(self.note_change)
+
+    def note_change(self, seen: Seen) -> None:
+        """Tell the holder of a batch what became of it; begin what was handed here."""
+        progress = seen.progress
+        batch_id = progress.header.batch_id
+        holder = self.holders.get(batch_id)
+        if holder is not None:
+            holder.take_over_progress(seen.stored)
+        elif self.is_mine(progress) and not progress.ended:
+            self.begin_take_over(seen.stored)
+
+    def is_mine(self, progress: Progress) -> bool:
+        """Tell whether a progress row names this process as holder."""
+        return (progress.holder, progress.incarnation) == (self.name, self.incarnation)
+
+    def begin_take_over(self, stored: StoredProgress) -> None:
+        """Take a batch over, unless that goes on already."""
+        batch_id = stored.progress.header.batch_id
+        if batch_id in self.holders or batch_id in self.claiming:
+            return
+        self.claiming.add(batch_id)
+        self.start(self.take_over(stored))
+
+    def usual_holder(self, header: BatchHeader) -> tuple[str, str]:
+        """Return the entry VM that should run a new batch, with its incarnation.
+
+        Batches of one service stay with one entry VM while it is alive: it has
+        connections to the servers, sees the pace of each of them, and starts the
+        longest items of all batches first. Where that is too much work for one, the
+        batches of each route stay together.
+        """
+        now = self.clock.monotonic_ms()
+        service = self.service_of(header.route)
+        open_items: Counter[str] = Counter()
+        alive: list[Seen] = []
+        for seen in self.board.seen.values():
+            progress = seen.progress
+            if not progress.ended:
+                open_items[progress.holder] += progress.header.total - progress.listed
+            if progress.holder and now - seen.changed_ms <= ALIVE_MS:
+                alive.append(seen)
+        alive.sort(key=lambda seen: seen.stored.version, reverse=True)
+        for seen in alive:
+            progress = seen.progress
+            same_route = progress.header.route == header.route
+            same_service = self.service_of(progress.header.route) == service
+            room = open_items[progress.holder] + header.total <= MOST_OPEN_ITEMS
+            if same_service and (same_route or room):
+                return progress.holder, progress.incarnation
+        return self.name, self.incarnation
+
+    def service_of(self, route_name: str) -> str | None:
+        """Return the service that runs a route's batches."""
+        route = self.routes.named(route_name)
+        return route.targets[0].service if route else None
+
+    def accepted(self, batch: Batch, stored: StoredProgress) -> None:
+        """Run a batch that was stored, or watch that its holder begins it."""
+        batch_id = batch.header.batch_id
+        self.board.note(stored)
+        logger.info(
+            "batch accepted",
+            extra={
+                "batch": batch_id,
+                "holder": stored.progress.holder,
+                "step": batch.header.step,
+                "model": batch.header.model,
+                "min_version": batch.header.min_version,
+                "items": batch.header.total,
+                "groups_wanted": batch.header.groups_wanted,
+            },
+        )
+        if not self.is_mine(stored.progress):
+            now = self.clock.monotonic_ms()
+            self.handed_over[batch_id] = (stored.version, now)
+            return
+        holder = self.holder_of(batch, stored)
+        if holder is not None:
+            self.holders[batch_id] = holder
+            self.start(self.run_accepted(holder))
+
+    def start(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine that ends by itself."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.finish_task)
+
+    def finish_task(self, task: asyncio.Task[None]) -> None:
+        """Log an unexpected end."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.error("batch task failed", exc_info=task.exception())
+
+    def holder_of(self, batch: Batch, stored: StoredProgress) -> BatchHolder | None:
+        """Return a new holder; None when the batch's route is gone."""
+        route = self.routes.named(batch.header.route)
+        if route is None:
+            logger.warning(
+                "route of a batch is gone",
+                extra={"batch": batch.header.batch_id, "route": batch.header.route},
+            )
+            return None
+        return BatchHolder(
+            batch,
+            stored,
+            route,
+            self.repository,
+            self.runner,
+            self.clock,
+            self.metrics,
+            self.board.note,
+            self.repository.row_bytes,
+        )
+
+    async def run_accepted(self, holder: BatchHolder) -> None:
+        """Run a new batch, with what is left of the trainer's last one."""
+        await self.use_leftovers(holder)
+        await self.run_holder(holder)
+
+    async def use_leftovers(self, holder: BatchHolder) -> None:
+        """Take over stored text of items that the last step left unfinished."""
+        header = holder.batch.header
+        if header.step < 1:
+            return
+        earlier = [
+            seen.progress.header
+            for seen in self.board.seen.values()
+            if seen.progress.header.route == header.route
+            and seen.progress.header.model == header.model
+            and seen.progress.header.step == header.step - 1
+        ]
+        for previous in earlier:
+            results, partials = await asyncio.gather(
+                self.repository.results(previous.batch_id, 0),
+                self.repository.partials(previous.batch_id),
+            )
+            if isinstance(results, Err) or isinstance(partials, Err):
+                logger.info("leftovers not read", extra={"batch": header.batch_id})
+                continue
+            used = holder.carry_over(tuple(results.ok_value), partials.ok_value)
+            if used:
+                logger.info(
+                    "leftovers used", extra={"batch": header.batch_id, "items": used}
+                )
+
+    async def run_holder(self, holder: BatchHolder) -> None:
+        """Run a batch to its end here."""
+        self.holders[holder.batch_id] = holder
+        if self.leaving:
+            holder.release()
+        try:
+            await holder.run()
+        finally:
+            self.holders.pop(holder.batch_id, None)
+            logger.info(
+                "batch left",
+                extra={
+                    "batch": holder.batch_id,
+                    "listed": holder.progress.listed,
+                    "total": holder.batch.header.total,
+                    "ended": holder.progress.ended,
+                },
+            )
+
+    async def watch(self) -> None:
+        """Take over batches whose holder went silent, until cancelled."""
+        while True:
+            await self.clock.sleep_ms(WATCH_MS)
+            if self.leaving or self.follower.healthy_since_ms is None:
+                continue
+            now = self.clock.monotonic_ms()
+            for seen in list(self.board.seen.values()):
+                if self.is_abandoned(seen, now):
+                    self.begin_take_over(seen.stored)
+            if now - self.deleted_ms > DELETE_CHECK_MS:
+                self.deleted_ms = now
+                self.start(self.delete_expired())
+
+    def is_abandoned(self, seen: Seen, now_ms: float) -> bool:
+        """Tell whether this entry VM should take a batch over now."""
+        progress = seen.progress
+        batch_id = progress.header.batch_id
+        if progress.ended or batch_id in self.holders or batch_id in self.claiming:
+            self.handed_over.pop(batch_id, None)
+            return False
+        handed = self.handed_over.get(batch_id)
+        if handed is not None:
+            version, at_ms = handed
+            if seen.stored.version == version:
+                return now_ms - at_ms > HANDOVER_MS
+            self.handed_over.pop(batch_id)
+        silent = now_ms - max(seen.changed_ms, self.follower.healthy_since_ms or now_ms)
+        if progress.holder == self.name:
+            return progress.incarnation != self.incarnation or silent > SILENCE_MS
+        rank = xxh64_intdigest(f"{batch_id}/{self.name}".encode()) % 1_000 / 1_000
+        if progress.holder == "":
+            return silent > rank * RELEASED_SPREAD_MS
+        return silent > SILENCE_MS + rank * SPREAD_MS
+
+    async def take_over(self, stored: StoredProgress) -> None:
+        """Claim a batch and run it from what is stored."""
+        batch_id = stored.progress.header.batch_id
+        try:
+            if self.routes.named(stored.progress.header.route) is None:
+                await self.clock.sleep_ms(SILENCE_MS)
+                return
+            if self.leaving:
+                await self.hand_back(stored)
+                return
+            claimed = await self.claim(stored)
+            if claimed is None:
+                await self.clock.sleep_ms(RETRY_MS)
+                return
+            content = await self.repository.content(batch_id)
+            if isinstance(content, Err):
+                # The claim lapses like that of a silent holder.
+                return
+            found = content.ok_value
+            logger.info(
+                "batch taken over",
+                extra={
+                    "batch": batch_id,
+                    "from": stored.progress.holder,
+                    "listed": len(found.results),
+                    "partials": len(found.partials),
+                },
+            )
+            holder = self.holder_of(Batch(stored.progress.header, found.items), claimed)
+            if holder is None:
+                return
+            holder.adopt(found.results, found.partials)
+            self.holders[batch_id] = holder
+            if not found.results and not found.partials:
+                await self.use_leftovers(holder)
+        finally:
+            self.claiming.discard(batch_id)
+        await self.run_holder(holder)
+
+    async def claim(self, stored: StoredProgress) -> StoredProgress | None:
+        """Become the holder of a batch; None when that did not succeed.
+
+        A batch that was handed here names this process already.
+        """
+        if self.is_mine(stored.progress):
+            return stored
+        after = stored.progress.written(
+            new_token(), holder=self.name, incarnation=self.incarnation
+        )
+        claimed = await self.repository.replace(stored.version, after)
+        if isinstance(claimed, Err) or claimed.ok_value is None:
+            return None
+        self.board.note(claimed.ok_value)
+        return claimed.ok_value
+
+    async def hand_back(self, stored: StoredProgress) -> None:
+        """Release a batch that was handed here although this entry VM leaves."""
+        after = stored.progress.written(new_token(), holder="")
+        done = await self.repository.replace(stored.version, after)
+        if isinstance(done, Err):
+            logger.info(
+                "batch not handed back",
+                extra={"batch": stored.progress.header.batch_id},
+            )
+
+    async def delete_expired(self) -> None:
+        """Delete batches that no caller may read any more; one entry VM does it."""
+        now = self.clock.wall_ms()
+        limit = self.retention_ms + DELETE_SLACK_MS
+        for seen in list(self.board.seen.values()):
+            header = seen.progress.header
+            age = now - header.submitted_unix_ms
+            if not seen.progress.ended or age < limit:
+                continue
+            if seen.progress.holder not in ("", self.name) and age < 2 * limit:
+                continue
+            done = await self.repository.delete(seen.stored)
+            if isinstance(done, Err):
+                logger.warning("batch not deleted", extra={"batch": header.batch_id})
+                return
+            self.board.forget(header.batch_id)
+
+    async def leave(self) -> None:
+        """Give all batches up, with what there is of their items."""
+        self.leaving = True
+        for holder in list(self.holders.values()):
+            holder.release()
+        while self.holders:
+            await self.clock.sleep_ms(20)
--- a/packages/ebonylb/src/ebonylb/batches/holder.py
+++ b/packages/ebonylb/src/ebonylb/batches/holder.py
@@ -12,7 +12,8 @@
 from ..outcomes import StepError, new_token
 from ..routes import Route
 from . import rows
-from .item_run import ItemRunner, ItemState
+from .item_run import ItemRunner
+from .item_state import ItemState
 from .model import Batch, ItemResult, Partial, Progress
 from .repository import BatchRepository, StoredProgress
 
--- a/packages/ebonylb/src/ebonylb/batches/item_run.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_run.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass, field
 
 from result import Err
 
@@ -11,13 +10,8 @@
 from ..fleet import ListedServer, ServerDirectory
 from ..outcomes import StepError
 from ..routes import Route, choose_target
-from .model import (
-    BatchHeader,
-    BatchItem,
-    ItemResult,
-    Partial,
-    distinct_versions,
-)
+from .item_state import ItemState
+from .model import BatchHeader, ItemResult
 from .placement import ItemNeed, ItemPlacement
 
 logger = logging.getLogger(__name__)
@@ -51,50 +45,6 @@
     """The run goes on elsewhere, although this server did not fail."""
 
 
-@dataclass(slots=True)
-class ItemState:
-    """Events received so far, and failed attempts.
-
-    Attributes
-    ----------
-    events, versions : list
-        Data and weight version of each event.
-    stored : int
-        Events that a checkpoint has stored.
-    """
-
-    item: BatchItem
-    events: list[str] = field(default_factory=list)
-    versions: list[int] = field(default_factory=list)
-    stored: int = 0
-    failures: int = 0
-    moves: int = 0
-    tries: int = 0
-    waited_ms: float = 0.0
-    servers: list[str] = field(default_factory=list)
-
-    def adopt(self, partial: Partial) -> None:
-        """Start from stored events."""
-        self.events = list(partial.events)
-        self.versions = list(partial.versions)
-        self.stored = len(self.events)
-
-    def restart(self) -> None:
-        """Drop what was received."""
-        self.events.clear()
-        self.versions.clear()
-        self.stored = 0
-
-    def result(self) -> ItemResult:
-        """Return the result of a whole run."""
-        return ItemResult(
-            self.item.item_id,
-            True,
-            "\n".join(self.events),
-            distinct_versions(self.versions),
-        )
-
-
 class ItemRunner:
     """Runs items on servers.
 
--- a/packages/ebonylb/src/ebonylb/forwarding/attempt.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/attempt.py
@@ -6,8 +6,8 @@
 from result import Err
 
 from ..edges import Clock
-from ..edges.server_port import AnswerHead, ServerPort
-from ..fleet import ListedServer, ServerDirectory
+from ..edges.server_port import AnswerHead, ServerAnswer, ServerPort
+from ..fleet import ListedServer, ServerCondition, ServerDirectory
 from ..outcomes import StepError
 from .messages import CallerAnswer, CallerRequest
 
@@ -76,35 +76,44 @@
                 fate, server, cause=str(error), lost_connection=error.may_have_run
             )
         answer = opened.ok_value
-        head = answer.head
-        now = clock.monotonic_ms()
-        if head.load is not None:
-            condition.note_load(head.load, now)
         try:
-            if head.not_run:
-                condition.resting_until_ms = now + BUSY_REST_MS
-                if head.wrong_server:
-                    condition.note_failure(now)
-                await answer.body()
-                return AttemptEnd(
-                    Fate.NOT_RUN, server, cause=f"server said {head.status}"
-                )
-            if is_spoiled(head):
-                condition.note_failure(now)
-                return AttemptEnd(Fate.BROKEN, server, cause="answer without seal")
-            body = await answer.body()
+            return await read_answer(server, answer, condition, clock, began)
         except StepError as error:
             condition.note_failure(clock.monotonic_ms())
             return AttemptEnd(Fate.BROKEN, server, cause=str(error))
         finally:
             answer.close()
-        now = clock.monotonic_ms()
-        if head.status >= SERVER_ERROR:
-            condition.move_failure_share(1.0, now)
-        else:
-            condition.note_success(now, now - began)
-        return AttemptEnd(
-            Fate.ANSWERED, server, CallerAnswer(head.status, head.headers, body)
-        )
     finally:
         condition.own -= 1
+
+
+async def read_answer(
+    server: ListedServer,
+    answer: ServerAnswer,
+    condition: ServerCondition,
+    clock: Clock,
+    began_ms: float,
+) -> AttemptEnd:
+    """Read an answer to its end and take over what it says of the server."""
+    head = answer.head
+    now = clock.monotonic_ms()
+    if head.load is not None:
+        condition.note_load(head.load, now)
+    if head.not_run:
+        condition.resting_until_ms = now + BUSY_REST_MS
+        if head.wrong_server:
+            condition.note_failure(now)
+        await answer.body()
+        return AttemptEnd(Fate.NOT_RUN, server, cause=f"server said {head.status}")
+    if is_spoiled(head):
+        condition.note_failure(now)
+        return AttemptEnd(Fate.BROKEN, server, cause="answer without seal")
+    body = await answer.body()
+    now = clock.monotonic_ms()
+    if head.status >= SERVER_ERROR:
+        condition.move_failure_share(1.0, now)
+    else:
+        condition.note_success(now, now - began_ms)
+    return AttemptEnd(
+        Fate.ANSWERED, server, CallerAnswer(head.status, head.headers, body)
+    )
--- a/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
@@ -8,7 +8,7 @@
 from result import Err
 
 from ..edges import Clock, Metrics
-from ..edges.server_port import ServerPort
+from ..edges.server_port import ServerAnswer, ServerPort
 from ..fleet import ListedServer, ServerChoice, ServerDirectory
 from ..outcomes import Outcome, StepError
 from ..routes import Route, RouteKind, RouteTable, choose_target
@@ -301,21 +301,9 @@
                 ),
             )
             if isinstance(opened, Err):
-                error: StepError = opened.err_value
-                course.causes.append(str(error))
-                self.directory.condition(server.name).note_failure(
-                    self.clock.monotonic_ms()
-                )
-                repeatable = course.route.resumable
-                if error.may_have_run and not (
-                    repeatable and course.runs < course.route.attempts
-                ):
-                    return refuse(
-                        Outcome.MAY_HAVE_RUN, "answer_lost", "the stream did not begin"
-                    )
-                if not error.may_have_run:
-                    course.runs -= 1
-                    course.refused += 1
+                refusal = self.note_unopened(course, server, opened.err_value)
+                if refusal is not None:
+                    return refusal
                 continue
             answer = opened.ok_value
             head = answer.head
@@ -325,25 +313,41 @@
                 course.refused += 1
                 continue
             if head.status >= 300 or not head.sealed:
-                try:
-                    body = await answer.body()
-                except StepError as error:
-                    course.causes.append(str(error))
-                    return refuse(
-                        Outcome.MAY_HAVE_RUN, "answer_lost", "the answer ended early"
-                    )
-                finally:
-                    answer.close()
-                if head.status < 300:
-                    return refuse(
-                        Outcome.MAY_HAVE_RUN, "answer_lost", "answer without seal"
-                    )
-                return CallerAnswer(head.status, head.headers, body)
+                return await self.read_failure(course, answer)
             chunks = self.pass_on(course, server, answer)
             return CallerStream(head.status, head.headers, chunks)
 
+    def note_unopened(
+        self, course: Course, server: ListedServer, error: StepError
+    ) -> CallerAnswer | None:
+        """Record a stream that did not begin; return the refusal if that is final."""
+        course.causes.append(str(error))
+        condition = self.directory.condition(server.name)
+        condition.note_failure(self.clock.monotonic_ms())
+        if not error.may_have_run:
+            course.runs -= 1
+            course.refused += 1
+            return None
+        if course.route.resumable and course.runs < course.route.attempts:
+            return None
+        return refuse(Outcome.MAY_HAVE_RUN, "answer_lost", "the stream did not begin")
+
+    async def read_failure(self, course: Course, answer: ServerAnswer) -> CallerAnswer:
+        """Return a server's own failure in place of a stream."""
+        head = answer.head
+        try:
+            body = await answer.body()
+        except StepError as error:
+            course.causes.append(str(error))
+            return refuse(Outcome.MAY_HAVE_RUN, "answer_lost", "the answer ended early")
+        finally:
+            answer.close()
+        if head.status < 300:
+            return refuse(Outcome.MAY_HAVE_RUN, "answer_lost", "answer without seal")
+        return CallerAnswer(head.status, head.headers, body)
+
     async def pass_on(
-        self, course: Course, server: ListedServer, answer
+        self, course: Course, server: ListedServer, answer: ServerAnswer
     ) -> AsyncIterator[bytes]:
         """Yield the events of a stream, continued on another server if need be."""
         async for chunk in relay_stream(self, course, server, answer):
--- a/packages/ebonylb/src/ebonylb/service/duties.py
+++ b/packages/ebonylb/src/ebonylb/service/duties.py
@@ -6,6 +6,7 @@
 
 from ..batches import (
     BatchBoard,
+    BatchCustody,
     BatchDuty,
     BatchRepository,
     ItemPlacement,
@@ -119,18 +120,22 @@
         self.board = BatchBoard(clock)
         self.board_follower = self.follower(PROGRESS_TABLE, self.board)
         self.placement = ItemPlacement(self.directory, self.choice, clock)
-        self.batches = BatchDuty(
+        repository = BatchRepository(outside.store, row_bytes)
+        self.custody = BatchCustody(
             self.identity.name,
             self.identity.incarnation,
             self.routes,
             self.board,
             self.board_follower,
-            BatchRepository(outside.store, row_bytes),
+            repository,
             ItemRunner(self.placement, self.directory, outside.port, clock, metrics),
             clock,
             metrics,
             self.bounds.result_retention_ms,
         )
+        self.batches = BatchDuty(
+            self.custody, self.routes, self.board, repository, clock
+        )
 
     def follower(self, table: str, reader: TableReader) -> TableFollower:
         """Return a follower of a table."""
@@ -146,6 +151,6 @@
         return [
             *(follower.run() for follower in shared),
             self.orders.run(),
-            self.batches.watch(),
+            self.custody.watch(),
             self.directory.watch_missing(),
         ]
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -166,12 +166,12 @@
         duties = self.duties
         unfinished = (
             holder.batch.header.total - holder.progress.listed
-            for holder in duties.batches.holders.values()
+            for holder in duties.custody.holders.values()
         )
         return {
             "requests.in_progress": self.readiness.in_progress,
             "configuration.version": duties.routes.version,
-            "batches.held": len(duties.batches.holders),
+            "batches.held": len(duties.custody.holders),
             "batches.unfinished_items": sum(unfinished),
             "batches.items_waiting": len(duties.placement.waiters),
             "servers.listed": len(duties.directory.servers),
@@ -220,7 +220,7 @@
         limit = self.settings.bounds.grace_ms - EXIT_MARGIN_MS
         try:
             async with asyncio.timeout(limit / 1000):
-                await self.duties.batches.leave()
+                await self.duties.custody.leave()
                 passed = self.clock.monotonic_ms() - began
                 await self.clock.sleep_ms(max(0, BALANCER_GRACE_MS - passed))
                 while self.readiness.in_progress:
--- a/packages/ebonylb/tests/test_batches.py
+++ b/packages/ebonylb/tests/test_batches.py
@@ -6,7 +6,7 @@
 from result import Err
 
 from ebonylb.batches import rows
-from ebonylb.batches.item_run import ItemState
+from ebonylb.batches.item_state import ItemState
 from ebonylb.batches.model import Partial
 from ebonylb.batches.placement import ItemNeed
 from ebonylb.outcomes import Outcome
@@ -189,9 +189,9 @@
             batch = world.batch("x", [100])
             assert await first.batches.submit(batch) is None
             await world.clock.sleep_ms(1_000)
-            await first.batches.leave()
+            await first.custody.leave()
             left_ms = world.clock.monotonic_ms()
-            while "x" not in second.batches.holders:
+            while "x" not in second.custody.holders:
                 await world.clock.sleep_ms(20)
             assert world.clock.monotonic_ms() - left_ms < 1_000
             check_whole(batch, await read_all(second, "x", 1))
@@ -404,7 +404,7 @@
             for server in world.port.servers.values():
                 if server.running:
                     server.mode = "absent"
-            vm.batches.runner.directory.put(
+            vm.custody.runner.directory.put(
                 next(s for s in world.listed() if s.name == "e1")
             )
             await world.clock.sleep_ms(200)
@@ -432,7 +432,7 @@
             state.adopt(Partial(events, (1,) * 5))
             route = vm.routes.named("batch")
             async with asyncio.timeout(5):
-                result = await vm.batches.runner.run(
+                result = await vm.custody.runner.run(
                     state, batch.header, route, 1e9, 1e9
                 )
             assert result.text == whole_text("x-0", 5)
@@ -507,9 +507,9 @@
             vm = world.start("a")
             batch = world.batch("x", [150, 60, 60])
             assert await vm.batches.submit(batch) is None
-            while "x" not in vm.batches.holders:
+            while "x" not in vm.custody.holders:
                 await world.clock.sleep_ms(5)
-            state = vm.batches.holders["x"].states["x-0"]
+            state = vm.custody.holders["x"].states["x-0"]
             while len(state.events) < 55:
                 await world.clock.sleep_ms(20)
             disturbed = world.port.servers[state.servers[-1]]
@@ -645,7 +645,7 @@
                 batch = world.batch(f"x{number}", [60, 60], step=number)
                 assert await vms[number].batches.submit(batch) is None
                 await world.clock.sleep_ms(500)
-            assert set(vms[0].batches.holders) == {"x0", "x1", "x2"}
+            assert set(vms[0].custody.holders) == {"x0", "x1", "x2"}
             for number in range(3):
                 await read_all(vms[2 - number], f"x{number}", 2)
 
@@ -679,8 +679,8 @@
             route = type(other.header)(
                 "x1", "other", 20, world.clock.wall_ms(), "m", 0, 1
             )
-            assert second.batches.usual_holder(route)[0] == "b"
-            assert second.batches.usual_holder(other.header)[0] == "a"
+            assert second.custody.usual_holder(route)[0] == "b"
+            assert second.custody.usual_holder(other.header)[0] == "a"
 
         run_virtual(scenario())
 
@@ -708,7 +708,7 @@
             first, second = world.start("a"), world.start("b")
             assert await first.batches.submit(world.batch("x0", [200])) is None
             await world.clock.sleep_ms(500)
-            first.batches.leaving = True
+            first.custody.leaving = True
             batch = world.batch("x1", [10, 10], step=1)
             assert await second.batches.submit(batch) is None
             check_whole(batch, await read_all(second, "x1", 2, 2_000))
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -103,6 +103,7 @@
         self.forwarder, self.strikes = duties.forwarder, duties.strikes
         self.ledger, self.orders = duties.ledger, duties.orders
         self.board, self.batches = duties.board, duties.batches
+        self.custody = duties.custody
         self.placement = duties.placement
         self.routes.apply(world.configuration)
         self.tasks = [asyncio.create_task(work) for work in duties.work()]
@@ -115,7 +116,7 @@
 
     def stop(self) -> None:
         """End all tasks at once, as a loss of power does."""
-        for task in [*self.tasks, *self.batches.tasks]:
+        for task in [*self.tasks, *self.custody.tasks]:
             task.cancel()
 
 
