--- a/packages/ebonylb_standins/tests/test_soak.py
+++ b/packages/ebonylb_standins/tests/test_soak.py
@@ -9,7 +9,7 @@
 # Seeds that failed once, each with its cause, run again here.
 REGRESSIONS = (
     211,  # a process waited up to a minute at its end for a request that never came
-    244,  # a process that was paused for 4.9 s of its grace still served at its end; open
+    244,  # a process that was paused within its grace still served at its end; open
 )
 SHORT_S, REGRESSION_S = 6.0, 12.0
 
