tasks: a cancellation that meets a timeout of the HTTP library is repeated

On waking, the timers of all feed calls expired together with the end of the shutdown's wait; the followers were cancelled in the same step, the library's nested timer contexts each took one cancellation back, and the followers went on, so that the process never ended. Ruled out: the shutdown's own limit (its stack was past it), batches held (none), requests in progress (0). Change: one function cancels until the tasks have ended, also for the items of a batch, where a lost cancellation would have let an item run after the end of its batch.

--- a/packages/ebonylb/src/ebonylb/batches/holder.py
+++ b/packages/ebonylb/src/ebonylb/batches/holder.py
@@ -11,6 +11,7 @@
 from ..edges.row_store import Put
 from ..outcomes import StepError, new_token
 from ..routes import Route
+from ..tasks import cancel_and_wait
 from . import rows
 from .item_run import ItemRunner
 from .item_state import ItemState
@@ -146,9 +147,7 @@
         try:
             await self.commit_until_done()
         finally:
-            for task in self.tasks:
-                task.cancel()
-            await asyncio.gather(*self.tasks, return_exceptions=True)
+            await cancel_and_wait(self.tasks)
 
     async def run_item(self, state: ItemState) -> None:
         """Run one item and hand its result to the next commit."""
--- a/packages/ebonylb/src/ebonylb/peers/bus.py
+++ b/packages/ebonylb/src/ebonylb/peers/bus.py
@@ -13,6 +13,7 @@
 from zmq.auth.asyncio import AsyncioAuthenticator
 
 from ..outcomes import StepError
+from ..tasks import cancel_and_wait
 from .link import CALL, ITEM, LAST, OUTBOUND_LIMIT, PeerLink, split_frame
 from .messages import Done, Failed, Message, decode, encode
 from .traffic import Traffic
@@ -280,10 +281,3 @@
     def callback(self, domain: str, key: bytes) -> bool:
         """Tell whether a client's public key is admitted."""
         return key == self.public
-
-
-async def cancel_and_wait(tasks: "list[asyncio.Task[None]]") -> None:
-    """Cancel tasks and wait until they have ended."""
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
--- a/packages/ebonylb/src/ebonylb/service/app.py
+++ b/packages/ebonylb/src/ebonylb/service/app.py
@@ -19,7 +19,6 @@
 from ..crashes import StrikeBook, StrikeTable
 from ..membership import LocalState, Membership
 from ..peers import CurveKeys, PeerBus
-from ..peers.bus import cancel_and_wait
 from ..peers.messages import ServerMark
 from ..retries import RetryBudget
 from ..routing.cross_region import CrossRegionBudget
@@ -31,6 +30,7 @@
 from ..shutdown import EntryVmLifecycle, ShutdownStages, StageKind, shutdown
 from ..steps import StepService
 from ..storage import GroupCommit
+from ..tasks import cancel_and_wait
 from ..telemetry import RequestTrace
 from ..weights import WeightRollout
 from .backend_access import BackendAccess
--- a/packages/ebonylb/src/ebonylb/service/run.py
+++ b/packages/ebonylb/src/ebonylb/service/run.py
@@ -3,8 +3,8 @@
 import asyncio
 import signal
 
-from ..peers.bus import cancel_and_wait
 from ..settings import Settings
+from ..tasks import cancel_and_wait
 from .app import EntryVmService
 
 
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -28,6 +28,7 @@
 from ..platform.servers import HttpServerPort
 from ..platform.sockets import silence_aware_socket
 from ..platform.store import PlatformRowStore
+from ..tasks import cancel_and_wait
 from ..telemetry.bounded_logs import BoundedLineHandler
 from .duties import Identity, Outside, SiteDuties
 from .metrics_page import MetricsPage
@@ -47,7 +48,7 @@
 # After SIGTERM the balancer needs two of its checks, one a second, to stop sending.
 BALANCER_GRACE_MS = 2_600
 # Before SIGKILL, so that the process ends by itself.
-EXIT_MARGIN_MS = 1_200
+EXIT_MARGIN_MS = 2_000
 # Requests still in progress then get this long; the library's own default is a minute.
 LAST_REQUESTS_S = 0.5
 
@@ -233,9 +234,7 @@
 
     async def close(self) -> None:
         """Stop all tasks and close all connections."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await cancel_and_wait(self.tasks)
         await self.resources.aclose()
         logger.info("entry VM stopped")
 
--- a/packages/ebonylb/tests/test_operations.py
+++ b/packages/ebonylb/tests/test_operations.py
@@ -1,5 +1,6 @@
 """Logs, metrics page and settings reload."""
 
+import asyncio
 import json
 import logging
 import os
@@ -9,7 +10,9 @@
 from ebonylb.adapters.metrics_page import PageMetrics
 from ebonylb.service.reload import SettingsReload
 from ebonylb.service.site_settings import SiteSettings
+from ebonylb.tasks import cancel_and_wait
 from ebonylb.telemetry.bounded_logs import BoundedLineHandler
+from ebonylb_standins.histories.virtual_time import run_virtual
 from ebonylb_standins.site.manual_clock import ManualClock
 
 
@@ -90,6 +93,41 @@
         assert "ebonylb_d_ms_count 2" in metrics.render()
 
 
+class TestEndingTasks:
+    def test_a_task_that_loses_one_cancellation_ends(self):
+        """Soak seed 244: after a pause all timers expired with the cancellation."""
+
+        async def loses_the_first():
+            try:
+                await asyncio.sleep(3_600)
+            except asyncio.CancelledError:
+                await asyncio.sleep(3_600)
+
+        async def scenario():
+            task = asyncio.create_task(loses_the_first())
+            await asyncio.sleep(0.01)
+            async with asyncio.timeout(10):
+                await cancel_and_wait([task])
+            assert task.cancelled()
+
+        run_virtual(scenario())
+
+    def test_an_error_of_a_task_does_not_stop_the_others(self):
+        async def fails():
+            raise ValueError("gone")
+
+        async def scenario():
+            tasks = [
+                asyncio.create_task(fails()),
+                asyncio.create_task(asyncio.sleep(9)),
+            ]
+            await asyncio.sleep(0.01)
+            await cancel_and_wait(tasks)
+            assert all(task.done() for task in tasks)
+
+        run_virtual(scenario())
+
+
 class TestReload:
     def reload(self, answers):
         applied = []
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
@@ -24,7 +24,7 @@
 MODELS = ("m", "n")
 ZONES = {"north": "gorge", "south": "gorge", "high": "highland"}
 HOST = "site.example"
-READY_LIMIT_S = 20.0
+READY_LIMIT_S = 60.0  # a start takes 0.5 s; the machine may be busy
 PROGRAM = ("-m", "ebonylb.service.site_main")
 
 
