--- a/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
@@ -35,7 +35,7 @@
 
 
 @dataclass(slots=True)
-class Course:
+class RequestState:
     """State of one request on its way.
 
     Parameters
@@ -118,7 +118,7 @@
         limit = route.timeout_ms
         if request.deadline_ms is not None:
             limit = min(limit, request.deadline_ms)
-        course = Course(
+        state = RequestState(
             request,
             route,
             choose_target(route, request.request_id).service,
@@ -127,79 +127,77 @@
                 request.method, request.host, request.target, request.body
             ),
         )
-        if self.strikes.is_given_up(course.fingerprint):
+        if self.strikes.is_given_up(state.fingerprint):
             answer = refuse(
                 Outcome.GIVEN_UP, "crashes_servers", "servers crashed while running it"
             )
         else:
-            answer = await self.run(course)
-        self.log_end(course, answer)
+            answer = await self.run(state)
+        self.log_end(state, answer)
         return answer
 
-    async def run(self, course: Course) -> CallerAnswer | CallerStream:
+    async def run(self, state: RequestState) -> CallerAnswer | CallerStream:
         """Run a request by the kind of its route."""
-        remaining = (course.ends_ms - self.clock.monotonic_ms()) / 1000
+        remaining = (state.ends_ms - self.clock.monotonic_ms()) / 1000
         try:
             async with asyncio.timeout(max(0.0, remaining)):
-                if course.route.kind is RouteKind.STREAMING:
-                    return await self.open_stream(course)
-                if course.route.kind is RouteKind.IDEMPOTENT:
-                    return await self.run_repeatable(course)
-                return await self.run_once(course)
+                if state.route.kind is RouteKind.STREAMING:
+                    return await self.open_stream(state)
+                if state.route.kind is RouteKind.IDEMPOTENT:
+                    return await self.run_repeatable(state)
+                return await self.run_once(state)
         except TimeoutError:
-            outcome = Outcome.MAY_HAVE_RUN if course.runs else Outcome.NOT_RUN
+            outcome = Outcome.MAY_HAVE_RUN if state.runs else Outcome.NOT_RUN
             return refuse(
                 outcome, "timeout", "the time limit was reached", RETRY_AFTER_MS
             )
 
-    def remaining_ms(self, course: Course) -> float:
+    def remaining_ms(self, state: RequestState) -> float:
         """Return the time left for a server."""
-        return course.ends_ms - self.clock.monotonic_ms()
+        return state.ends_ms - self.clock.monotonic_ms()
 
-    def pick(self, course: Course) -> ListedServer | None:
+    def pick(self, state: RequestState) -> ListedServer | None:
         """Return the best server, an untried one if there is any."""
-        server = self.choice.choose_plain(course.service, course.tried)
-        return server or self.choice.choose_plain(course.service)
+        server = self.choice.choose_plain(state.service, state.tried)
+        return server or self.choice.choose_plain(state.service)
 
-    async def attempt(self, course: Course, server: ListedServer) -> AttemptEnd:
+    async def attempt(self, state: RequestState, server: ListedServer) -> AttemptEnd:
         """Send a request once."""
-        course.tried.add(server.name)
-        course.sent.append(server.name)
+        state.tried.add(server.name)
+        state.sent.append(server.name)
         end = await send_once(
             self.port,
             self.directory,
             self.clock,
             server,
-            course.request,
-            self.remaining_ms(course),
+            state.request,
+            self.remaining_ms(state),
         )
         if end.cause:
-            course.causes.append(f"{server.name}: {end.cause}")
+            state.causes.append(f"{server.name}: {end.cause}")
         if end.lost_connection and not await self.port.reachable(server.target):
-            self.strikes.strike(
-                course.fingerprint, f"{server.name}.{server.started_ms}"
-            )
+            self.strikes.strike(state.fingerprint, f"{server.name}.{server.started_ms}")
         return end
 
-    async def run_repeatable(self, course: Course) -> CallerAnswer:
+    async def run_repeatable(self, state: RequestState) -> CallerAnswer:
         """Send an idempotent request until one server answers well.
 
         A copy goes to another server when the first one takes long.
         """
         hedge_at = (
-            self.clock.monotonic_ms() + course.route.target_latency_ms * HEDGE_SHARE
+            self.clock.monotonic_ms() + state.route.target_latency_ms * HEDGE_SHARE
         )
         running: set[asyncio.Task[AttemptEnd]] = set()
         last: CallerAnswer | None = None
         try:
             while True:
-                if not running and (refusal := await self.start_copy(course, running)):
+                if not running and (refusal := await self.start_copy(state, running)):
                     return last or refusal
                 wait_s = (hedge_at - self.clock.monotonic_ms()) / 1000
                 may_copy = (
                     len(running) == 1
-                    and course.runs < course.route.attempts
-                    and not self.strikes.is_suspect(course.fingerprint)
+                    and state.runs < state.route.attempts
+                    and not self.strikes.is_suspect(state.fingerprint)
                 )
                 done, _ = await asyncio.wait(
                     running,
@@ -208,11 +206,11 @@
                 )
                 if not done:
                     self.metrics.incr("forward.copies")
-                    await self.start_copy(course, running)
+                    await self.start_copy(state, running)
                     hedge_at = float("inf")
                 for task in done:
                     running.discard(task)
-                    answer = self.judge(course, task.result())
+                    answer = self.judge(state, task.result())
                     if answer is not None and answer.status < 500:
                         return answer
                     last = answer or last
@@ -220,58 +218,58 @@
             for task in running:
                 task.cancel()
 
-    def judge(self, course: Course, end: AttemptEnd) -> CallerAnswer | None:
+    def judge(self, state: RequestState, end: AttemptEnd) -> CallerAnswer | None:
         """Count an attempt that ended and return its answer, if it has one."""
         if end.fate is Fate.NOT_RUN:
-            course.runs -= 1
-            course.refused += 1
+            state.runs -= 1
+            state.refused += 1
         return end.answer
 
     async def start_copy(
-        self, course: Course, running: set[asyncio.Task[AttemptEnd]]
+        self, state: RequestState, running: set[asyncio.Task[AttemptEnd]]
     ) -> CallerAnswer | None:
         """Start an attempt; return the refusal when there can be none."""
-        if self.strikes.is_given_up(course.fingerprint):
+        if self.strikes.is_given_up(state.fingerprint):
             return refuse(
                 Outcome.GIVEN_UP, "crashes_servers", "servers crashed while running it"
             )
-        if course.runs >= course.route.attempts:
+        if state.runs >= state.route.attempts:
             return refuse(
                 Outcome.MAY_HAVE_RUN, "attempts_used", "no server gave a whole answer"
             )
-        if course.refused >= MOST_REFUSED_SENDINGS:
-            return self.refuse_full(course)
-        server = self.pick(course)
+        if state.refused >= MOST_REFUSED_SENDINGS:
+            return self.refuse_full(state)
+        server = self.pick(state)
         if server is None:
-            return self.refuse_without_server(course)
-        if course.refused and course.refused % len(course.tried) == 0:
+            return self.refuse_without_server(state)
+        if state.refused and state.refused % len(state.tried) == 0:
             await self.clock.sleep_ms(FULL_PAUSE_MS)
-        course.runs += 1
-        running.add(asyncio.create_task(self.attempt(course, server)))
+        state.runs += 1
+        running.add(asyncio.create_task(self.attempt(state, server)))
         return None
 
-    def refuse_full(self, course: Course) -> CallerAnswer:
+    def refuse_full(self, state: RequestState) -> CallerAnswer:
         """Return the refusal of a request that every server was too full for."""
-        outcome = Outcome.MAY_HAVE_RUN if course.runs else Outcome.NOT_RUN
+        outcome = Outcome.MAY_HAVE_RUN if state.runs else Outcome.NOT_RUN
         return refuse(outcome, "overloaded", "all servers are full", RETRY_AFTER_MS)
 
-    def refuse_without_server(self, course: Course) -> CallerAnswer:
+    def refuse_without_server(self, state: RequestState) -> CallerAnswer:
         """Return the refusal of a request that no server can run now."""
-        outcome = Outcome.MAY_HAVE_RUN if course.runs else Outcome.NOT_RUN
+        outcome = Outcome.MAY_HAVE_RUN if state.runs else Outcome.NOT_RUN
         return refuse(
             outcome, "no_backend_server", "no server runs this", NO_SERVER_RETRY_MS
         )
 
-    async def run_once(self, course: Course) -> CallerAnswer:
+    async def run_once(self, state: RequestState) -> CallerAnswer:
         """Send a non-idempotent request; again only if it surely did not run."""
         while True:
-            if course.refused >= MOST_REFUSED_SENDINGS:
-                return self.refuse_full(course)
-            server = self.pick(course)
+            if state.refused >= MOST_REFUSED_SENDINGS:
+                return self.refuse_full(state)
+            server = self.pick(state)
             if server is None:
-                return self.refuse_without_server(course)
-            course.runs += 1
-            end = await self.attempt(course, server)
+                return self.refuse_without_server(state)
+            state.runs += 1
+            end = await self.attempt(state, server)
             if end.fate is Fate.ANSWERED:
                 return end.answer
             if end.fate is Fate.BROKEN:
@@ -280,28 +278,28 @@
                     "answer_lost",
                     "the server gave no whole answer",
                 )
-            course.runs -= 1
-            course.refused += 1
+            state.runs -= 1
+            state.refused += 1
 
-    async def open_stream(self, course: Course) -> CallerAnswer | CallerStream:
+    async def open_stream(self, state: RequestState) -> CallerAnswer | CallerStream:
         """Open a stream; only until its head arrives the time limit applies."""
         while True:
-            if course.refused >= MOST_REFUSED_SENDINGS:
-                return self.refuse_full(course)
-            server = self.pick(course)
+            if state.refused >= MOST_REFUSED_SENDINGS:
+                return self.refuse_full(state)
+            server = self.pick(state)
             if server is None:
-                return self.refuse_without_server(course)
-            course.tried.add(server.name)
-            course.sent.append(server.name)
-            course.runs += 1
+                return self.refuse_without_server(state)
+            state.tried.add(server.name)
+            state.sent.append(server.name)
+            state.runs += 1
             opened = await self.port.open(
                 server.target,
-                course.request.for_server(
-                    self.remaining_ms(course), course.request.resume_after
+                state.request.for_server(
+                    self.remaining_ms(state), state.request.resume_after
                 ),
             )
             if isinstance(opened, Err):
-                refusal = self.note_unopened(course, server, opened.err_value)
+                refusal = self.note_unopened(state, server, opened.err_value)
                 if refusal is not None:
                     return refusal
                 continue
@@ -309,36 +307,38 @@
             head = answer.head
             if head.not_run:
                 answer.close()
-                course.runs -= 1
-                course.refused += 1
+                state.runs -= 1
+                state.refused += 1
                 continue
             if head.status >= 300 or not head.sealed:
-                return await self.read_failure(course, answer)
-            chunks = self.pass_on(course, server, answer)
+                return await self.read_failure(state, answer)
+            chunks = self.pass_on(state, server, answer)
             return CallerStream(head.status, head.headers, chunks)
 
     def note_unopened(
-        self, course: Course, server: ListedServer, error: StepError
+        self, state: RequestState, server: ListedServer, error: StepError
     ) -> CallerAnswer | None:
         """Record a stream that did not begin; return the refusal if that is final."""
-        course.causes.append(str(error))
+        state.causes.append(str(error))
         condition = self.directory.condition(server.name)
         condition.note_failure(self.clock.monotonic_ms())
         if not error.may_have_run:
-            course.runs -= 1
-            course.refused += 1
+            state.runs -= 1
+            state.refused += 1
             return None
-        if course.route.resumable and course.runs < course.route.attempts:
+        if state.route.resumable and state.runs < state.route.attempts:
             return None
         return refuse(Outcome.MAY_HAVE_RUN, "answer_lost", "the stream did not begin")
 
-    async def read_failure(self, course: Course, answer: ServerAnswer) -> CallerAnswer:
+    async def read_failure(
+        self, state: RequestState, answer: ServerAnswer
+    ) -> CallerAnswer:
         """Return a server's own failure in place of a stream."""
         head = answer.head
         try:
             body = await answer.body()
         except StepError as error:
-            course.causes.append(str(error))
+            state.causes.append(str(error))
             return refuse(Outcome.MAY_HAVE_RUN, "answer_lost", "the answer ended early")
         finally:
             answer.close()
@@ -347,30 +347,30 @@
         return CallerAnswer(head.status, head.headers, body)
 
     async def pass_on(
-        self, course: Course, server: ListedServer, answer: ServerAnswer
+        self, state: RequestState, server: ListedServer, answer: ServerAnswer
     ) -> AsyncIterator[bytes]:
         """Yield the events of a stream, continued on another server if need be."""
-        async for chunk in relay_stream(self, course, server, answer):
+        async for chunk in relay_stream(self, state, server, answer):
             yield chunk
 
-    def log_end(self, course: Course, answer: CallerAnswer | CallerStream) -> None:
+    def log_end(self, state: RequestState, answer: CallerAnswer | CallerStream) -> None:
         """Write the one line that explains the answer of a request."""
         refusal = getattr(answer, "refusal", None)
-        elapsed = self.clock.monotonic_ms() - course.request.received_ms
+        elapsed = self.clock.monotonic_ms() - state.request.received_ms
         self.metrics.incr(f"forward.status.{answer.status}")
         self.metrics.timing_ms("forward.duration", elapsed)
         logger.info(
             "request ended",
             extra={
-                "request_id": course.request.request_id,
-                "route": course.route.name,
+                "request_id": state.request.request_id,
+                "route": state.route.name,
                 "configuration": self.routes.version,
-                "service": course.service,
+                "service": state.service,
                 "status": answer.status,
                 "reason": refusal.reason if refusal else None,
-                "servers": course.sent,
-                "causes": course.causes,
+                "servers": state.sent,
+                "causes": state.causes,
                 "elapsed_ms": round(elapsed, 1),
-                "left_ms": round(course.ends_ms - self.clock.monotonic_ms()),
+                "left_ms": round(state.ends_ms - self.clock.monotonic_ms()),
             },
         )
--- a/packages/ebonylb/src/ebonylb/forwarding/streams.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/streams.py
@@ -11,14 +11,14 @@
 from ..outcomes import StepError
 
 if TYPE_CHECKING:
-    from .forwarder import Course, Forwarder
+    from .forwarder import Forwarder, RequestState
 
 logger = logging.getLogger(__name__)
 
 
 async def relay_stream(
     forwarder: "Forwarder",
-    course: "Course",
+    state: "RequestState",
     server: ListedServer,
     answer: ServerAnswer,
 ) -> AsyncIterator[bytes]:
@@ -28,7 +28,7 @@
     passed on. Any other broken stream ends with the error, so that the caller sees
     an answer without its end.
     """
-    last = course.request.resume_after or 0
+    last = state.request.resume_after or 0
     while True:
         condition = forwarder.directory.condition(server.name)
         condition.own += 1
@@ -47,22 +47,22 @@
             logger.warning(
                 "stream broke",
                 extra={
-                    "request_id": course.request.request_id,
+                    "request_id": state.request.request_id,
                     "server": server.name,
                     "last_event": last,
                     "cause": str(error),
                 },
             )
-            if not course.route.resumable:
+            if not state.route.resumable:
                 raise
         finally:
             condition.own -= 1
             answer.close()
-        server, answer = await resume(forwarder, course, last)
+        server, answer = await resume(forwarder, state, last)
 
 
 async def resume(
-    forwarder: "Forwarder", course: "Course", last: int
+    forwarder: "Forwarder", state: "RequestState", last: int
 ) -> tuple[ListedServer, ServerAnswer]:
     """Open the rest of a stream on another server.
 
@@ -71,23 +71,23 @@
     StepError
         The attempts or the time are used up.
     """
-    while course.runs < course.route.attempts and forwarder.remaining_ms(course) > 0:
-        server = forwarder.pick(course)
+    while state.runs < state.route.attempts and forwarder.remaining_ms(state) > 0:
+        server = forwarder.pick(state)
         if server is None:
             break
-        course.tried.add(server.name)
-        course.sent.append(server.name)
-        course.runs += 1
+        state.tried.add(server.name)
+        state.sent.append(server.name)
+        state.runs += 1
         opened = await forwarder.port.open(
             server.target,
-            course.request.for_server(forwarder.remaining_ms(course), last),
+            state.request.for_server(forwarder.remaining_ms(state), last),
         )
         if isinstance(opened, Err):
-            course.causes.append(str(opened.err_value))
+            state.causes.append(str(opened.err_value))
             continue
         answer = opened.ok_value
         if answer.head.status == 200 and answer.head.sealed:
             return server, answer
         answer.close()
-        course.causes.append(f"{server.name}: status {answer.head.status}")
-    raise StepError("stream.resume", course.service, "no server continued the stream")
+        state.causes.append(f"{server.name}: status {answer.head.status}")
+    raise StepError("stream.resume", state.service, "no server continued the stream")
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/faults.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/faults.py
@@ -104,15 +104,15 @@
 async def disturb(proxy, rng: random.Random) -> None:
     """Disturb a path for a while."""
     kind = rng.choice(["silent", "up", "down", "delay", "reset", "refuse"])
-    weather = proxy.weather
-    weather.silent_up = kind in ("silent", "up")
-    weather.silent_down = kind in ("silent", "down")
-    weather.delay_s = rng.uniform(0.02, 0.3) if kind == "delay" else 0.0
-    weather.refuse = kind == "refuse"
+    faults = proxy.faults
+    faults.silent_up = kind in ("silent", "up")
+    faults.silent_down = kind in ("silent", "down")
+    faults.delay_s = rng.uniform(0.02, 0.3) if kind == "delay" else 0.0
+    faults.refuse = kind == "refuse"
     if kind in ("reset", "refuse"):
         proxy.reset(rng.uniform(0.3, 1.0))
     await asyncio.sleep(rng.uniform(0.5, 4.0))
-    proxy.weather = type(weather)()
+    proxy.faults = type(faults)()
     proxy.reset(1.0)
 
 
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/proxy.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/proxy.py
@@ -9,7 +9,7 @@
 
 
 @dataclass
-class Weather:
+class PathFaults:
     """What the proxy does to bytes from now on.
 
     Attributes
@@ -42,7 +42,7 @@
     def __init__(self, target: str, rng: random.Random) -> None:
         self.target = target
         self.random = rng
-        self.weather = Weather()
+        self.faults = PathFaults()
         self.writers: set[asyncio.StreamWriter] = set()
         self.address = ""
 
@@ -57,7 +57,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Serve one connection."""
-        if self.weather.refuse:
+        if self.faults.refuse:
             writer.transport.abort()
             return
         host, port = self.target.rsplit(":", 1)
@@ -84,9 +84,9 @@
         """Pass bytes on in one direction."""
         with contextlib.suppress(OSError):
             while chunk := await reader.read(CHUNK_BYTES):
-                if self.weather.delay_s:
-                    await asyncio.sleep(self.weather.delay_s)
-                silent = self.weather.silent_up if up else self.weather.silent_down
+                if self.faults.delay_s:
+                    await asyncio.sleep(self.faults.delay_s)
+                silent = self.faults.silent_up if up else self.faults.silent_down
                 if silent:
                     continue
                 writer.write(chunk)
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/run.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/run.py
@@ -80,14 +80,14 @@
             self.up.discard(vm.name)
         await vm.start()
 
-    def keep_evidence(self, folder: Path, seed: int) -> None:
+    def keep_logs(self, folder: Path, seed: int) -> None:
         """Keep the logs, and what was done when, of a run that failed."""
         folder.mkdir(parents=True, exist_ok=True)
         for log in self.folder.glob("*.log"):
             shutil.copy(log, folder / f"{seed}-{log.name}")
         lines = sorted([*self.notes, *self.failures])
         text = "\n".join(f"{at:8.3f} {kind}: {what}" for at, kind, what in lines)
-        (folder / f"{seed}-story.txt").write_text(text + "\n")
+        (folder / f"{seed}-timeline.txt").write_text(text + "\n")
 
     def check_servers(self) -> None:
         """Check what the backend servers have seen."""
@@ -183,5 +183,5 @@
         if not any(trainer.seen for trainer in trainers):
             site.fail("harness", "no result was read")
         if site.failures and keep is not None:
-            site.keep_evidence(keep, seed)
+            site.keep_logs(keep, seed)
     return site.failures
