prove: crashes across a cut between entry VMs count from 4 s on

The engines crash at 224,616 ms (gorge-north), 224,984 ms (highland-a) and 225,017 ms (gorge-south): one first run on one side of the cut, two on the other, all begun before either side could learn of the other. No run follows the third crash. The users' bound counts retries by VMs in touch from StableWindowMs (4,000 ms) after the third crash, so it allows this. Ruled out: a missed strike within one side; after the third crash four copies are refused with crashes_servers, none runs. The simulated cases cover both sides, an old crash beyond the cut, and a crash after the cut's end.

--- a/packages/ebonylb_standins/tests/test_prove.py
+++ b/packages/ebonylb_standins/tests/test_prove.py
@@ -74,6 +74,14 @@
     return [ServerCrashed(at, "r", "e", str(at), "p") for at in range(count)]
 
 
+def crashes_in(*places):
+    """Return crashes by one request: pairs of a time and a failure domain."""
+    return [ServerCrashed(at, "r", f"lm-{d}-1", str(at), "p") for at, d in places]
+
+
+NORTH_CUT = FaultBegan(0, "cut_peers", ("north",))
+
+
 # Checker, events, and whether they show a violation.
 CASES = {
     "own versions": ("P1", [produced(0, 1), produced(2, 2)], [(1, 2), (2, 2)], False),
@@ -188,6 +196,35 @@
     ),
     "three crashes": ("crash bound", crashes(3), True),
     "two crashes": ("crash bound", crashes(2), False),
+    "three crashes, domains not cut off": (
+        "crash bound",
+        crashes_in((1, "north"), (2, "south"), (3, "east")),
+        True,
+    ),
+    "two crashes on one side of a cut, one on the other": (
+        "crash bound",
+        [NORTH_CUT, *crashes_in((1, "north"), (400, "south"), (430, "east"))],
+        False,
+    ),
+    "three crashes on one side of a cut": (
+        "crash bound",
+        [NORTH_CUT, *crashes_in((1, "west"), (400, "south"), (430, "east"))],
+        True,
+    ),
+    "a crash long after those on the other side of a cut": (
+        "crash bound",
+        [NORTH_CUT, *crashes_in((1, "south"), (2, "east"), (4_003, "north"))],
+        True,
+    ),
+    "a crash after the end of a cut": (
+        "crash bound",
+        [
+            NORTH_CUT,
+            FaultEnded(5, "cut_peers", ("north",)),
+            *crashes_in((6, "south"), (7, "east"), (8, "north")),
+        ],
+        True,
+    ),
     "version ordered back": (
         "weight orders",
         [VersionLoaded(1, "e", "i", 3, 1), VersionLoaded(2, "e", "i", 2, 2)],
