service: a leaving entry VM refuses requests whose bodies are late

Cause: a request whose body never arrives counted as in progress to the end of the grace (6.7 s of 8 s), then was cut off without an answer; closing what remained took 0.4 s idle, and 0.5 s and more beside load. Ruled out: the time of closing itself (7.09 s in all, of it 0.3 s the wait for last requests). Change: at 0.6 of the grace such requests get 503 not_run with a time to come back. A body that arrives before is served as ever; the test now checks both answers.

--- a/packages/ebonylb/src/ebonylb/platform/ingress.py
+++ b/packages/ebonylb/src/ebonylb/platform/ingress.py
@@ -17,6 +17,7 @@
 from ..outcomes import Outcome, Refusal, StepError
 from ..routes import RouteKind
 from ..service.readiness import Readiness
+from ..service.uploads import Uploads
 from . import names
 from .batch_wire import decode_batch, encode_results
 
@@ -27,7 +28,15 @@
 # Largest body that is read; the configuration's own limit is at most this.
 MOST_BODY_BYTES = 33_554_432
 LONGEST_WAIT_MS = 1_000.0
+# Another entry VM takes the request at once.
+RETRY_ELSEWHERE_MS = 50.0
 MALFORMED = Refusal(Outcome.NOT_RUN, "malformed", "the body is not a batch")
+LATE_BODY = Refusal(
+    Outcome.NOT_RUN,
+    "leaving",
+    "this entry VM leaves before the body has arrived; send it to another one",
+    RETRY_ELSEWHERE_MS,
+)
 STATUS_OF_REASON = {"no_batch": 404, "malformed": 400, "no_route": 404}
 
 
@@ -71,11 +80,13 @@
         batches: BatchDuty,
         readiness: Readiness,
         clock: Clock,
+        uploads: Uploads,
     ) -> None:
         self.forwarder = forwarder
         self.batches = batches
         self.readiness = readiness
         self.clock = clock
+        self.uploads = uploads
 
     async def handle_ready(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer the balancer."""
@@ -153,9 +164,11 @@
         request_id = request.headers.get(names.REQUEST_ID, "")
         last_event = request.headers.get(names.LAST_EVENT, "")
         try:
-            body = await request.read()
+            body = await self.uploads.read(request.read)
         except HTTPRequestEntityTooLarge:
             return web.Response(status=413)
+        except TimeoutError:
+            return self.refusal(LATE_BODY, request_id)
         message = CallerRequest(
             request_id=request_id,
             method=request.method,
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -36,6 +36,7 @@
 from .readiness import Readiness
 from .reload import SettingsReload
 from .site_settings import SiteSettings
+from .uploads import Uploads
 
 logger = logging.getLogger(__name__)
 
@@ -50,6 +51,9 @@
 # Before SIGKILL, so that the process ends by itself. A request may only be cut off in
 # the last sixth of the grace (8 s today).
 EXIT_MARGIN_MS = 1_300
+# Share of the grace for bodies that are still arriving; the rest is enough to end the
+# process on a busy machine.
+UPLOAD_SHARE = 0.6
 # Requests still in progress then get this long; the library's own default is a minute.
 LAST_REQUESTS_S = 0.3
 
@@ -101,6 +105,7 @@
             self.settings.row_bytes,
         )
         self.readiness = Readiness(self.duties.routes, self.clock)
+        self.uploads = Uploads()
         self.reload = SettingsReload(
             self.settings, self.read_settings, self.take_settings, self.clock
         )
@@ -185,7 +190,11 @@
     async def listen(self) -> None:
         """Listen for callers and for the balancer."""
         ingress = Ingress(
-            self.duties.forwarder, self.duties.batches, self.readiness, self.clock
+            self.duties.forwarder,
+            self.duties.batches,
+            self.readiness,
+            self.clock,
+            self.uploads,
         )
         page = MetricsPage(self.metrics, self.sample)
         for handler, address in (
@@ -225,7 +234,14 @@
                 await self.duties.custody.leave()
                 passed = self.clock.monotonic_ms() - began
                 await self.clock.sleep_ms(max(0, BALANCER_GRACE_MS - passed))
+                uploads_end = began + self.settings.bounds.grace_ms * UPLOAD_SHARE
                 while self.readiness.in_progress:
+                    if (
+                        not self.uploads.ended
+                        and self.clock.monotonic_ms() > uploads_end
+                    ):
+                        count = self.uploads.end()
+                        logger.info("late bodies refused", extra={"count": count})
                     await self.clock.sleep_ms(20)
         except TimeoutError:
             logger.warning(
--- a/packages/ebonylb_standins/tests/test_site.py
+++ b/packages/ebonylb_standins/tests/test_site.py
@@ -155,22 +155,36 @@
         asyncio.run(scenario())
 
     def test_a_request_that_never_ends_does_not_hold_the_shutdown(self):
-        """Soak seed 211: a process still ran when its grace was over."""
+        """Soak seed 211: a process still ran when its grace was over.
+
+        The caller must learn that its request has not run, and a body that arrives
+        during the shutdown is still served.
+        """
 
         async def scenario():
             async with HttpSite(first_ip=110, entry_vms=1) as site:
                 (vm,) = site.vms.values()
                 host, port = vm.front.rsplit(":", 1)
-                _, writer = await asyncio.open_connection(host, int(port))
-                writer.write(
-                    b"POST /ask/1 HTTP/1.1\r\nHost: site.example\r\n"
-                    b"Content-Length: 10\r\n\r\n"
-                )
-                await writer.drain()
+                endless, endless_writer = await asyncio.open_connection(host, int(port))
+                slow, slow_writer = await asyncio.open_connection(host, int(port))
+                for writer in (endless_writer, slow_writer):
+                    writer.write(
+                        b"POST /ask/1 HTTP/1.1\r\nHost: site.example\r\n"
+                        b"Ebonylb-Request-Id: slow\r\nContent-Length: 10\r\n\r\n12345"
+                    )
+                    await writer.drain()
                 await asyncio.sleep(0.2)
                 vm.send(signal.SIGTERM)
+                await asyncio.sleep(1.0)
+                slow_writer.write(b"67890")
+                served = await asyncio.wait_for(slow.read(), 8)
+                refused = await asyncio.wait_for(endless.read(), 8)
                 assert await asyncio.wait_for(vm.process.wait(), 8) == 0
-                writer.close()
+                assert served.startswith(b"HTTP/1.1 200")
+                assert refused.startswith(b"HTTP/1.1 503")
+                assert b'"outcome":"not_run","reason":"leaving"' in refused
+                endless_writer.close()
+                slow_writer.close()
 
         asyncio.run(scenario())
 
