forwarding: a resumable stream leaves a silent server

Cause: streams had no test. A server that went silent in the middle of a stream, or that never answered, held a resumable stream until its caller left after 2 s or more. The servers' work also went on until the interpreter collected the abandoned generator. Ruled out: lost and doubled events after a reset (the numbers are checked), a second run of a stream that may not be repeated (one run, and the answer ends with an error). Change: without an event, or a head, for the longer of 1 s and twice the objective a resumable stream goes on elsewhere; the generator of a stream is closed when its caller leaves. Two tests with the real process over HTTP are in test_site.py.

--- a/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
 from result import Err
@@ -14,7 +13,7 @@
 from ..routes import Route, RouteKind, RouteTable, choose_target
 from .attempt import AttemptEnd, Fate, send_once
 from .messages import CallerAnswer, CallerRequest, CallerStream, refuse
-from .streams import relay_stream
+from .streams import open_in_time, relay_stream
 from .strikes import CrashStrikes, request_fingerprint
 
 logger = logging.getLogger(__name__)
@@ -292,12 +291,7 @@
             state.tried.add(server.name)
             state.sent.append(server.name)
             state.runs += 1
-            opened = await self.port.open(
-                server.target,
-                state.request.for_server(
-                    self.remaining_ms(state), state.request.resume_after
-                ),
-            )
+            opened = await open_in_time(self, state, server, state.request.resume_after)
             if isinstance(opened, Err):
                 refusal = self.note_unopened(state, server, opened.err_value)
                 if refusal is not None:
@@ -312,7 +306,7 @@
                 continue
             if head.status >= 300 or not head.sealed:
                 return await self.read_failure(state, answer)
-            chunks = self.pass_on(state, server, answer)
+            chunks = relay_stream(self, state, server, answer)
             return CallerStream(head.status, head.headers, chunks)
 
     def note_unopened(
@@ -346,13 +340,6 @@
             return refuse(Outcome.MAY_HAVE_RUN, "answer_lost", "answer without seal")
         return CallerAnswer(head.status, head.headers, body)
 
-    async def pass_on(
-        self, state: RequestState, server: ListedServer, answer: ServerAnswer
-    ) -> AsyncIterator[bytes]:
-        """Yield the events of a stream, continued on another server if need be."""
-        async for chunk in relay_stream(self, state, server, answer):
-            yield chunk
-
     def log_end(self, state: RequestState, answer: CallerAnswer | CallerStream) -> None:
         """Write the one line that explains the answer of a request."""
         refusal = getattr(answer, "refusal", None)
--- a/packages/ebonylb/src/ebonylb/forwarding/messages.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/messages.py
@@ -1,6 +1,6 @@
 """Requests of callers and the answers to them."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from dataclasses import dataclass
 
 from ..edges.server_port import Headers, ServerRequest
@@ -71,13 +71,13 @@
 
     Parameters
     ----------
-    chunks : async iterator of bytes
+    chunks : async generator of bytes
         Whole events; raises `StepError` when the stream ends before its end.
     """
 
     status: int
     headers: Headers
-    chunks: AsyncIterator[bytes]
+    chunks: AsyncGenerator[bytes, None]
 
 
 def refuse(
--- a/packages/ebonylb/src/ebonylb/forwarding/streams.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/streams.py
@@ -1,10 +1,11 @@
 """Streams that are continued on another server within one answer."""
 
+import asyncio
 import logging
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator
 from typing import TYPE_CHECKING
 
-from result import Err
+from result import Err, Result
 
 from ..edges.server_port import ServerAnswer
 from ..fleet import ListedServer
@@ -15,13 +16,64 @@
 
 logger = logging.getLogger(__name__)
 
+# A resumable stream without an event for this long goes on elsewhere: callers leave
+# after a gap of 2 s at the earliest, and another server needs the rest for its first
+# event.
+SHORTEST_STALL_MS = 1_000.0
+# Callers leave after four times the objective, where that is longer.
+STALL_TARGETS = 2.0
+
+
+def stall_s(state: "RequestState") -> float | None:
+    """Return the longest wait for a server, in seconds.
+
+    None for a stream that may not be repeated: no other server could help.
+    """
+    if not state.route.resumable:
+        return None
+    return max(SHORTEST_STALL_MS, STALL_TARGETS * state.route.target_latency_ms) / 1000
+
+
+async def open_in_time(
+    forwarder: "Forwarder",
+    state: "RequestState",
+    server: ListedServer,
+    last: int | None,
+) -> Result[ServerAnswer, StepError]:
+    """Ask a server for a stream; an error when its head takes too long."""
+    request = state.request.for_server(forwarder.remaining_ms(state), last)
+    try:
+        async with asyncio.timeout(stall_s(state)):
+            return await forwarder.port.open(server.target, request)
+    except TimeoutError:
+        return Err(StepError("stream.open", server.name, "no answer in time"))
+
+
+async def next_block(
+    state: "RequestState",
+    server: ListedServer,
+    blocks: AsyncIterator[tuple[int, bytes]],
+) -> tuple[int, bytes] | None:
+    """Return the next event of a stream; None at its regular end.
+
+    Raises
+    ------
+    StepError
+        The stream broke, or its server is silent.
+    """
+    try:
+        async with asyncio.timeout(stall_s(state)):
+            return await anext(blocks, None)
+    except TimeoutError as error:
+        raise StepError("stream.stall", server.name, "no event in time") from error
+
 
 async def relay_stream(
     forwarder: "Forwarder",
     state: "RequestState",
     server: ListedServer,
     answer: ServerAnswer,
-) -> AsyncIterator[bytes]:
+) -> AsyncGenerator[bytes, None]:
     """Yield whole events in order, each once.
 
     A resumable stream that breaks goes on at another server after the last event
@@ -33,7 +85,9 @@
         condition = forwarder.directory.condition(server.name)
         condition.own += 1
         try:
-            async for number, block in answer.raw_events():
+            blocks = answer.raw_events()
+            while (received := await next_block(state, server, blocks)) is not None:
+                number, block = received
                 if number != last + 1:
                     raise StepError(
                         "stream.order", server.name, f"event {number} after {last}"
@@ -78,10 +132,7 @@
         state.tried.add(server.name)
         state.sent.append(server.name)
         state.runs += 1
-        opened = await forwarder.port.open(
-            server.target,
-            state.request.for_server(forwarder.remaining_ms(state), last),
-        )
+        opened = await open_in_time(forwarder, state, server, last)
         if isinstance(opened, Err):
             state.causes.append(str(opened.err_value))
             continue
--- a/packages/ebonylb/src/ebonylb/platform/ingress.py
+++ b/packages/ebonylb/src/ebonylb/platform/ingress.py
@@ -1,6 +1,7 @@
 """Interface to callers and to the balancer, over HTTP."""
 
 import asyncio
+import contextlib
 import logging
 from typing import Any
 from urllib.parse import unquote
@@ -208,8 +209,10 @@
         response.enable_chunked_encoding()
         await response.prepare(request)
         try:
-            async for chunk in stream.chunks:
-                await response.write(chunk)
+            # Closed at once when the caller leaves, so that the server stops its work.
+            async with contextlib.aclosing(stream.chunks) as chunks:
+                async for chunk in chunks:
+                    await response.write(chunk)
         except StepError as error:
             logger.info("stream ended early", extra={"cause": str(error)})
             if request.transport is not None:
--- a/packages/ebonylb/tests/test_forwarding.py
+++ b/packages/ebonylb/tests/test_forwarding.py
@@ -1,14 +1,15 @@
 """Single requests: attempts, copies, deadlines, refusals and crashes."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
-from ebonylb.forwarding import CallerRequest, Forwarder
+from ebonylb.forwarding import CallerRequest, CallerStream, Forwarder
 from ebonylb.forwarding.strikes import request_fingerprint
-from ebonylb.outcomes import Outcome
+from ebonylb.outcomes import Outcome, StepError
 from ebonylb_standins.histories.virtual_time import run_virtual
-from ebonylb_standins.site.servers import Output
+from ebonylb_standins.site.servers import EVENT_MS, Output
 from ebonylb_standins.site.world import World
 
 
@@ -208,3 +209,132 @@
             assert answer.status == 404
 
         run_virtual(scenario())
+
+
+def blocks(first, last):
+    return [f"id: {number}\n\n".encode() for number in range(first, last + 1)]
+
+
+class TestStreams:
+    """Answers that are series of events."""
+
+    @staticmethod
+    def stream_of(world, path="/chat/1", **fields):
+        world.port.outputs["q"] = Output(events=20)
+        return dataclasses.replace(ask(world, path=path), **fields)
+
+    @staticmethod
+    def server_in_use(world):
+        (server,) = [s for s in world.port.servers.values() if s.running]
+        return server
+
+    def test_events_are_passed_on_as_they_come(self):
+        """Guards against a stream that is held back until it is whole."""
+
+        async def scenario():
+            world = World()
+            answer = await serve(world.start("a"), self.stream_of(world))
+            assert isinstance(answer, CallerStream)
+            assert answer.status == 200
+            began = world.clock.monotonic_ms()
+            received = []
+            async for block in answer.chunks:
+                received.append(block)
+                at = world.clock.monotonic_ms() - began
+                assert at < EVENT_MS * len(received) + 5
+            assert received == blocks(1, 20)
+            assert runs(world) == 1
+
+        run_virtual(scenario())
+
+    @pytest.mark.parametrize("mode", ["resets", "dark"])
+    def test_a_resumable_stream_goes_on_elsewhere(self, mode):
+        """Guards against lost or doubled events, and against a silent server.
+
+        Callers leave after a gap of 2 s.
+        """
+
+        async def scenario():
+            world = World()
+            answer = await serve(world.start("a"), self.stream_of(world))
+            last = world.clock.monotonic_ms()
+            received = []
+            async for block in answer.chunks:
+                assert world.clock.monotonic_ms() - last < 2_000
+                last = world.clock.monotonic_ms()
+                received.append(block)
+                if len(received) == 7:
+                    self.server_in_use(world).mode = mode
+            assert received == blocks(1, 20)
+            assert runs(world) == 2
+            resumed = [r for s in world.port.servers.values() for r in s.sent]
+            assert sorted(r.resume_after or 0 for r in resumed) == [0, 7]
+
+        run_virtual(scenario())
+
+    def test_servers_that_are_silent_from_the_start_are_passed_over(self):
+        """Guards against a resumable stream that waits for one dark server."""
+
+        async def scenario():
+            world = World(plain=3)
+            vm = world.start("a")
+            world.port.servers["p0"].mode = "dark"
+            began = world.clock.monotonic_ms()
+            for _ in range(3):
+                answer = await serve(vm, self.stream_of(world))
+                assert [block async for block in answer.chunks] == blocks(1, 20)
+            assert world.clock.monotonic_ms() - began < 3 * 20 * EVENT_MS + 2_000
+
+        run_virtual(scenario())
+
+    def test_a_stream_that_may_not_be_repeated_runs_once(self):
+        """Guards against a second run, and against an end that looks complete."""
+
+        async def scenario():
+            world = World()
+            answer = await serve(world.start("a"), self.stream_of(world, "/live/1"))
+            received = []
+            with pytest.raises(StepError):
+                async for block in answer.chunks:
+                    received.append(block)
+                    if len(received) == 7:
+                        self.server_in_use(world).mode = "resets"
+            assert received == blocks(1, 7)
+            assert runs(world) == 1
+
+        run_virtual(scenario())
+
+    def test_a_caller_that_resumes_gets_the_rest(self):
+        async def scenario():
+            world = World()
+            request = self.stream_of(world, resume_after=12)
+            answer = await serve(world.start("a"), request)
+            assert [block async for block in answer.chunks] == blocks(13, 20)
+
+        run_virtual(scenario())
+
+    def test_the_work_ends_when_the_caller_leaves(self):
+        """Guards against servers that generate for nobody."""
+
+        async def scenario():
+            world = World()
+            answer = await serve(world.start("a"), self.stream_of(world))
+            await anext(answer.chunks)
+            await answer.chunks.aclose()
+            assert all(s.running == 0 for s in world.port.servers.values())
+
+        run_virtual(scenario())
+
+    def test_no_attempts_left_ends_the_stream_with_an_error(self):
+        async def scenario():
+            world = World(plain=4)
+            answer = await serve(world.start("a"), self.stream_of(world))
+            received = []
+            with pytest.raises(StepError):
+                async for block in answer.chunks:
+                    received.append(block)
+                    self.server_in_use(world).mode = "resets"
+            assert received == blocks(1, len(received))
+            assert runs(world) == 3
+
+        run_virtual(scenario())
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
@@ -52,8 +52,17 @@
         "Sticky": True,
     } | batch_fields
     plain = {"Host": HOST, "Service": DESK, "TimeoutMs": 2_000, "Attempts": 2}
+    stream = plain | {"Service": ENGINE, "TargetLatencyMs": 400, "Attempts": 3}
     routes = [
         batch,
+        {
+            "Name": "chat",
+            "Prefix": "/chat/",
+            "Kind": "streaming",
+            **stream,
+            "Resumable": True,
+        },
+        {"Name": "live", "Prefix": "/live/", "Kind": "streaming", **stream},
         {"Name": "ask", "Prefix": "/ask/", "Kind": "idempotent", **plain},
         {"Name": "book", "Prefix": "/book/", "Kind": "non_idempotent", **plain},
     ]
--- a/packages/ebonylb_standins/tests/test_site.py
+++ b/packages/ebonylb_standins/tests/test_site.py
@@ -6,10 +6,11 @@
 import signal
 import sys
 
+import aiohttp
 import pytest
 
 from ebonylb_standins.site.http_servers import event_text
-from ebonylb_standins.site.http_site import DESK, HttpSite, configuration
+from ebonylb_standins.site.http_site import DESK, ENGINE, HttpSite, configuration
 
 LIMIT_S = 20.0
 
@@ -200,6 +201,42 @@
 
         asyncio.run(scenario())
 
+    def test_a_broken_stream_goes_on_within_one_answer(self):
+        """Guards against lost, doubled or joined events of resumable streams."""
+
+        async def scenario():
+            async with HttpSite(first_ip=130, entry_vms=1) as site:
+                (vm,) = site.vms.values()
+                engines = [s for s in site.servers.values() if s.service == ENGINE]
+                engines[0].spoil = "reset"
+                for number in range(8):
+                    name = f"s{number}"
+                    status, body, headers = await site.call(
+                        vm, "POST", "/chat/12", name, b"x", Ebonylb_Model="m"
+                    )
+                    assert status == 200
+                    assert headers["Content-Type"] == "text/event-stream"
+                    assert headers["Ebonylb-Response-Seal"] == f"seal.{name}"
+                    assert body == b"".join(
+                        f"id: {n}\ndata: {event_text(name, n)}\n\n".encode()
+                        for n in range(1, 13)
+                    )
+                assert any(s.begun[f"s{n}"] > 0 for s in engines[:1] for n in range(8))
+
+        asyncio.run(scenario())
+
+    def test_a_broken_stream_that_may_not_be_repeated_does_not_look_whole(self):
+        async def scenario():
+            async with HttpSite(first_ip=140, entry_vms=1) as site:
+                (vm,) = site.vms.values()
+                for server in site.servers.values():
+                    server.spoil = "reset"
+                with pytest.raises(aiohttp.ClientError):
+                    await site.call(vm, "POST", "/live/12", "s", Ebonylb_Model="m")
+                assert sum(s.begun["s"] for s in site.servers.values()) == 1
+
+        asyncio.run(scenario())
+
     @pytest.mark.parametrize("spoil", ["reset", "cut", "shed"])
     def test_a_spoiled_answer_never_reaches_a_caller(self, spoil):
         async def scenario():
