backends: a drain survives the entry VM that took it

Change: while leaving, an entry VM acknowledges a drain once one of four that stay has it, else it answers 503; the shutdown waits for marks under way; a starting entry VM reads the marks of one peer before it serves, for at most 1 s.

--- a/packages/ebonylb/src/ebonylb/api/operators.py
+++ b/packages/ebonylb/src/ebonylb/api/operators.py
@@ -17,7 +17,7 @@
     ApplyUnavailable,
     ConfigurationSpread,
 )
-from ..outcomes import Outcome, Refusal, new_request_id
+from ..outcomes import Outcome, Refusal, StepError, new_request_id
 from ..telemetry import Decision
 from .answers import read_body
 
@@ -42,7 +42,7 @@
         Takes a request id; returns its decisions, empty when it is not known.
     drain : callable
         Takes server name, leaving or not, and operator; tells whether the server
-        is known.
+        is known. Raises `StepError` when the mark would end with this entry VM.
     """
 
     status: Callable[[], Awaitable[dict[str, Any]]]
@@ -193,7 +193,10 @@
             problems.append(f"leaving: {leaving!r} is not valid: true or false")
         if problems:
             return unprocessable(problems)
-        known = await self.providers.drain(server, leaving, operator)
+        try:
+            known = await self.providers.drain(server, leaving, operator)
+        except StepError as error:
+            return unavailable(request, "leaving", error.message, may_have_run=True)
         outcome = "drain" if leaving else "drain_undone"
         if not known:
             message = f"no backend server {server!r} is known; see `ebonyctl status`"
--- a/packages/ebonylb/src/ebonylb/backends/registry.py
+++ b/packages/ebonylb/src/ebonylb/backends/registry.py
@@ -4,14 +4,14 @@
 import logging
 import random
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, replace
 
 from transitions import Machine
 
 from ..edges import Clock, VmEntry, VmKind, VmState
 from ..outcomes import StepError
-from ..peers.messages import Message, ServerMark
+from ..peers.messages import MarksQuery, Message, ServerMark
 from .marks import MarkTable
 from .model import BackendServer, ServerState
 
@@ -306,6 +306,12 @@
         """Return all marks, for a new or reconnected peer."""
         return self.table.all()
 
+    async def answer_marks(self, message: Message) -> AsyncIterator[ServerMark]:
+        """Send all marks to an entry VM that starts; handler of `MarksQuery`."""
+        assert isinstance(message, MarksQuery)
+        for mark in self.marks():
+            yield mark
+
     def apply_mark(self, record: ServerRecord, mark: ServerMark) -> None:
         """Move the server's lifecycle as the mark in force says."""
         if mark.leaving:
--- a/packages/ebonylb/src/ebonylb/backends/spread.py
+++ b/packages/ebonylb/src/ebonylb/backends/spread.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 from ..outcomes import StepError
 from ..peers import PeerBus
-from ..peers.messages import ServerMark
+from ..peers.messages import MarksQuery, ServerMark
 
 logger = logging.getLogger(__name__)
 
@@ -59,14 +60,40 @@
         if marks:
             self.start(self.send(peer, marks))
 
-    def start(self, sending) -> None:
+    async def entrust(self, mark: ServerMark, peers: list[str]) -> bool:
+        """Send a mark to peers at once; tell as soon as one of them has it."""
+        sendings = [self.start(self.send(peer, [mark])) for peer in peers]
+        for sending in asyncio.as_completed(sendings):
+            if await sending:
+                return True
+        return False
+
+    async def pull(
+        self, peer: str, accept: Callable[[ServerMark], Awaitable[None]]
+    ) -> bool:
+        """Take over all marks of a peer; False when it did not answer in full."""
+        try:
+            async for mark in self.bus.stream(peer, MarksQuery(), ATTEMPT_MS):
+                if isinstance(mark, ServerMark):
+                    await accept(mark)
+        except StepError as error:
+            logger.info("marks not read: %s", error)
+            return False
+        return True
+
+    async def flush(self) -> None:
+        """Wait for all sendings that are under way."""
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def start(self, sending: Coroutine[Any, Any, bool]) -> asyncio.Task[bool]:
         """Run a sending in the background and keep it from being collected."""
         task = asyncio.create_task(sending, name="marks")
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+        return task
 
-    async def send(self, peer: str, marks: list[ServerMark]) -> None:
-        """Send marks in order; stop at a peer that cannot be reached."""
+    async def send(self, peer: str, marks: list[ServerMark]) -> bool:
+        """Send marks in order; stop, with False, at a peer that cannot be reached."""
         for mark in marks:
             for attempt in range(1, ATTEMPTS + 1):
                 try:
@@ -75,7 +102,8 @@
                 except StepError as error:
                     if attempt == ATTEMPTS:
                         logger.warning("marks not sent: %s", error)
-                        return
+                        return False
+        return True
 
     async def close(self) -> None:
         """Cancel all sendings."""
--- a/packages/ebonylb/src/ebonylb/membership/duty.py
+++ b/packages/ebonylb/src/ebonylb/membership/duty.py
@@ -339,6 +339,14 @@
         """Return the other live entry VMs of this failure domain."""
         return [name for name in self.monitors if self.view.vms[name].alive]
 
+    def ready_peers(self) -> list[str]:
+        """Return the other live entry VMs, of any domain, that do not leave."""
+        return [
+            vm.name
+            for vm in self.view.vms.values()
+            if vm.name != self.name and vm.alive and vm.lifecycle == "ready"
+        ]
+
     def live(self, failure_domain: str) -> list[str]:
         """Return the entry VMs of a domain that may own shards, sorted."""
         return self.ownership.live(failure_domain)
--- a/packages/ebonylb/src/ebonylb/peers/messages.py
+++ b/packages/ebonylb/src/ebonylb/peers/messages.py
@@ -154,6 +154,10 @@
     leaving: bool
 
 
+class MarksQuery(Message):
+    """Asks for all marks; the answer is a stream of `ServerMark`."""
+
+
 class StrikeReport(Message):
     """Requests, by fingerprint, that ran on a server when it crashed.
 
@@ -240,6 +244,7 @@
     | StepSession
     | TrainerVersion
     | AdminQuery
+    | MarksQuery
     | AdminAnswer
 )
 
--- a/packages/ebonylb/src/ebonylb/service/app.py
+++ b/packages/ebonylb/src/ebonylb/service/app.py
@@ -19,7 +19,7 @@
 from ..crashes import StrikeBook, StrikeTable
 from ..membership import LocalState, Membership
 from ..peers import CurveKeys, PeerBus
-from ..peers.messages import ServerMark
+from ..peers.messages import MarksQuery, ServerMark
 from ..retries import RetryBudget
 from ..routing.cross_region import CrossRegionBudget
 from ..routing.entry import EntryRouter
@@ -34,6 +34,7 @@
 from ..telemetry import RequestTrace
 from ..weights import WeightRollout
 from .backend_access import BackendAccess
+from .mark_recovery import recover_marks
 from .operations import Operations, run_periodically
 from .owner_factory import HomeShard, OwnerFactory
 from .peer_access import MembershipTargets, PeerAccess
@@ -144,6 +145,7 @@
             self.settings.failure_domain,
         )
         self.bus.on(ServerMark, self.registry.accept)
+        self.bus.on(MarksQuery, self.registry.answer_marks)
 
     def spread_mark(self, mark: ServerMark) -> None:
         """Send a mark beyond the failure domain, at once and in the next rounds.
@@ -247,6 +249,7 @@
         await self.membership.start()
         self.stack.push_async_callback(self.membership.close)
         await self.membership.wait_joined(JOIN_LIMIT_MS)
+        await recover_marks(self.membership, self.marks, self.registry, self.clock)
         self.spawn(self.poller.run(), "vm-list")
         # A struck request must not find a new entry VM that knows nothing of it.
         await self.strikes.table.read()
@@ -332,6 +335,7 @@
         self.operations = Operations(
             self.membership,
             self.registry,
+            self.marks,
             self.owners,
             self.state,
             self.bus,
@@ -385,6 +389,7 @@
         stages.add(StageKind.HAND_BACK_QUEUE, self.owners.drain)
         stages.add(StageKind.HAND_BACK_QUEUE, lambda: self.steps.drain(STEP_STAGE_MS))
         stages.add(StageKind.WAIT_IN_FLIGHT, self.admission.idle.wait)
+        stages.add(StageKind.FLUSH_JOURNAL, self.marks.flush)
         stages.add(StageKind.FLUSH_JOURNAL, lambda: self.calls.close(JOURNAL_STAGE_MS))
         await shutdown(
             self.lifecycle,
--- a/packages/ebonylb/src/ebonylb/service/operations.py
+++ b/packages/ebonylb/src/ebonylb/service/operations.py
@@ -1,12 +1,13 @@
 """What operators see: status, shares, decisions on a request, drains."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from typing import Any
 
 import msgspec
 
-from ..backends import BackendRegistry
+from ..backends import BackendRegistry, MarkSpreader
 from ..configuration import ConfigurationState
 from ..edges import Clock
 from ..membership import Membership
@@ -16,11 +17,14 @@
     AdminAnswer,
     AdminQuery,
     Message,
+    ServerMark,
 )
 from ..routing.owner_table import OwnerTable
 from ..telemetry import Decision, RequestTrace
 
 QUERY_TIMEOUT_MS = 1_500
+# Entry VMs that a leaving one hands a mark to; some may be leaving unnoticed.
+ENTRUSTED_PEERS = 4
 
 
 class Operations:
@@ -32,6 +36,8 @@
         View of the entry VMs.
     registry : BackendRegistry
         Backend servers.
+    marks : MarkSpreader
+        Hands marks to peers.
     owners : OwnerTable
         Shards owned here.
     state : ConfigurationState
@@ -50,6 +56,7 @@
         self,
         membership: Membership,
         registry: BackendRegistry,
+        marks: MarkSpreader,
         owners: OwnerTable,
         state: ConfigurationState,
         bus: PeerBus,
@@ -59,6 +66,7 @@
     ) -> None:
         self.membership = membership
         self.registry = registry
+        self.marks = marks
         self.owners = owners
         self.state = state
         self.bus = bus
@@ -195,8 +203,32 @@
         return sorted(found, key=lambda decision: decision.at_ms)
 
     async def drain(self, server: str, leaving: bool, operator: str) -> bool:
-        """Mark a backend server as leaving, or take the mark back."""
-        return self.registry.mark(server, leaving, f"operator {operator}") is not None
+        """Mark a backend server as leaving, or take the mark back.
+
+        Raises
+        ------
+        StepError
+            This entry VM leaves, and no other one has confirmed the mark.
+        """
+        mark = self.registry.mark(server, leaving, f"operator {operator}")
+        if mark is None:
+            return False
+        if self.lifecycle() != "ready" and not await self.entrust(mark):
+            raise StepError(
+                "drain.entrust",
+                server,
+                "this entry VM leaves and no other one has confirmed the mark; "
+                "repeat it at another entry VM",
+            )
+        return True
+
+    async def entrust(self, mark: ServerMark) -> bool:
+        """Hand a mark to entry VMs that stay; tell whether one has it."""
+        ready = self.membership.ready_peers()
+        chosen = random.sample(ready, min(ENTRUSTED_PEERS, len(ready)))
+        for peer in chosen:
+            self.membership.ensure_link(peer)
+        return await self.marks.entrust(mark, chosen)
 
 
 async def run_periodically(
--- a/packages/ebonylb/tests/test_backends.py
+++ b/packages/ebonylb/tests/test_backends.py
@@ -1,14 +1,21 @@
 import asyncio
+from types import SimpleNamespace
 
 from hypothesis import given
 from hypothesis import strategies as st
 from result import Err, Ok
 
-from ebonylb.backends import BackendRegistry, ServerState, VmListPoller
+from ebonylb.backends import (
+    BackendRegistry,
+    MarkSpreader,
+    ServerState,
+    VmListPoller,
+)
 from ebonylb.backends.registry import ABSENT_MS, RETURN_MS
 from ebonylb.edges import Clock, VmEntry, VmKind, VmState
 from ebonylb.outcomes import StepError
-from ebonylb.peers.messages import ServerMark
+from ebonylb.peers.messages import MarksQuery, ServerMark
+from ebonylb.service.mark_recovery import recover_marks
 
 
 class ManualClock(Clock):
@@ -116,6 +123,88 @@
         assert final_view(marks) == final_view(shuffled)
 
 
+class FakeBus:
+    """Peers by name; True when they take a mark."""
+
+    def __init__(self, **peers):
+        self.peers = peers
+        self.taken = []
+
+    async def request(self, peer, message, timeout_ms):
+        await asyncio.sleep(0)
+        if not self.peers[peer]:
+            raise StepError("peer.send", peer, "no open connection", False)
+        self.taken.append(peer)
+
+
+class TestRecovery:
+    """An entry VM that starts takes the marks over before it serves."""
+
+    def recover(self, **peers):
+        async def scenario():
+            source, _ = registry()
+            source.mark("e1", True, "operator ann")
+            started, _ = registry()
+            bus = FakeBus(**peers)
+            bus.stream = lambda peer, message, limit: answer(bus, peer, source)
+            membership = SimpleNamespace(
+                name="a",
+                seeds=["b"],
+                entry_vms=lambda: ["a", *peers],
+                ready_peers=list,
+                ensure_link=lambda peer: True,
+            )
+            spreader = MarkSpreader(bus, list)
+            clock = ManualClock()
+            done = await recover_marks(membership, spreader, started, clock)
+            return done, started.get("e1").state, clock.now
+
+        async def answer(bus, peer, source):
+            await bus.request(peer, None, 0)
+            async for mark in source.answer_marks(MarksQuery()):
+                yield mark
+
+        return asyncio.run(scenario())
+
+    def test_a_drain_is_known_before_the_first_request(self):
+        done, state, _ = self.recover(b=False, c=True)
+        assert done and state is ServerState.LEAVING
+
+    def test_a_domain_that_is_cut_off_serves_all_the_same(self):
+        done, _, waited_ms = self.recover(b=False)
+        assert not done and waited_ms <= 1_100
+
+
+class TestEntrusting:
+    """A leaving entry VM hands a mark over before it acknowledges it.
+
+    Seed 74021 of the proof: the only entry VM of a domain took a drain while it left,
+    and the process that replaced it never learned of it.
+    """
+
+    MARK = ServerMark("e1", "i1", 1, "operator ann", True)
+
+    def entrust(self, **peers):
+        async def scenario():
+            bus = FakeBus(**peers)
+            spreader = MarkSpreader(bus, list)
+            confirmed = await spreader.entrust(self.MARK, list(peers))
+            await spreader.flush()
+            return confirmed, bus.taken
+
+        return asyncio.run(scenario())
+
+    def test_one_peer_suffices(self):
+        assert self.entrust(b=False, c=True, d=False) == (True, ["c"])
+
+    def test_all_peers_that_answer_have_it_in_the_end(self):
+        assert self.entrust(b=True, c=True) == (True, ["b", "c"])
+
+    def test_no_peer_is_no_confirmation(self):
+        assert self.entrust(b=False, c=False) == (False, [])
+        assert self.entrust() == (False, [])
+
+
 class TestSuspicion:
     def test_connection_failure_is_cleared_by_a_probe(self):
         """Guards against a server that stays without work after a short fault."""
--- a/packages/ebonylb/tests/test_configuration_operators.py
+++ b/packages/ebonylb/tests/test_configuration_operators.py
@@ -46,6 +46,8 @@
         return [Decision(1, "route", "vm-2")] if request_id == "r-1" else []
 
     async def drain(server, leaving, operator):
+        if server == "kiln-2":
+            raise StepError("drain.entrust", server, "not confirmed")
         return server == "kiln-1"
 
     async def scenario():
@@ -129,3 +131,10 @@
         status, _, _, noted = call("POST", "/admin/drain", body)
         assert status == 200 and noted[0] == "ann" and noted[3] == "drain"
         assert call("POST", "/admin/drain", body | {"server": "x"})[0] == 404
+
+    def test_a_drain_that_may_be_lost_is_not_acknowledged(self):
+        """Guards against a mark that ends with the entry VM that took it."""
+        body = {"server": "kiln-2", "leaving": True}
+        status, answer, _, noted = call("POST", "/admin/drain", body)
+        assert status == 503 and answer["outcome"] == "may_have_run"
+        assert answer["retry_after_ms"] and not noted
