--- a/packages/ebonylb_standins/tests/test_site.py
+++ b/packages/ebonylb_standins/tests/test_site.py
@@ -205,7 +205,7 @@
         """Guards against lost, doubled or joined events of resumable streams."""
 
         async def scenario():
-            async with HttpSite(first_ip=130, entry_vms=1) as site:
+            async with HttpSite(first_ip=120, entry_vms=1) as site:
                 (vm,) = site.vms.values()
                 engines = [s for s in site.servers.values() if s.service == ENGINE]
                 engines[0].spoil = "reset"
@@ -227,7 +227,7 @@
 
     def test_a_broken_stream_that_may_not_be_repeated_does_not_look_whole(self):
         async def scenario():
-            async with HttpSite(first_ip=140, entry_vms=1) as site:
+            async with HttpSite(first_ip=130, entry_vms=1) as site:
                 (vm,) = site.vms.values()
                 for server in site.servers.values():
                     server.spoil = "reset"
