forwarding: a log line for requests that callers abandon

Cause: a request whose caller closed its connection left no line, so that its id led nowhere. Ruled out: the line of the end cannot be used, there is no status. Change: one line with the servers that had begun it and the time; streams as well. Before / after: two cases in test_forwarding.py, the line missing before.

--- a/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
@@ -131,7 +131,11 @@
                 Outcome.GIVEN_UP, "crashes_servers", "servers crashed while running it"
             )
         else:
-            answer = await self.run(state)
+            try:
+                answer = await self.run(state)
+            except asyncio.CancelledError:
+                self.log_abandoned(state)
+                raise
         self.log_end(state, answer)
         return answer
 
@@ -340,6 +344,23 @@
             return refuse(Outcome.MAY_HAVE_RUN, "answer_lost", "answer without seal")
         return CallerAnswer(head.status, head.headers, body)
 
+    def log_abandoned(self, state: RequestState) -> None:
+        """Write the line of a request whose caller left; its runs are cancelled."""
+        self.metrics.incr("forward.abandoned")
+        logger.info(
+            "request abandoned by its caller",
+            extra={
+                "request_id": state.request.request_id,
+                "route": state.route.name,
+                "service": state.service,
+                "servers": state.sent,
+                "causes": state.causes,
+                "elapsed_ms": round(
+                    self.clock.monotonic_ms() - state.request.received_ms, 1
+                ),
+            },
+        )
+
     def log_end(self, state: RequestState, answer: CallerAnswer | CallerStream) -> None:
         """Write the one line that explains the answer of a request."""
         refusal = getattr(answer, "refusal", None)
--- a/packages/ebonylb/src/ebonylb/forwarding/streams.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/streams.py
@@ -109,6 +109,9 @@
             )
             if not state.route.resumable:
                 raise
+        except (asyncio.CancelledError, GeneratorExit):
+            forwarder.log_abandoned(state)
+            raise
         finally:
             condition.own -= 1
             answer.close()
--- a/packages/ebonylb/tests/test_forwarding.py
+++ b/packages/ebonylb/tests/test_forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import logging
 
 import pytest
 
@@ -215,6 +216,27 @@
     return [f"id: {number}\n\n".encode() for number in range(first, last + 1)]
 
 
+class TestAbandoned:
+    def test_a_request_whose_caller_leaves_has_a_line(self, caplog):
+        """Guards against requests that the logs know nothing of."""
+
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            world.port.outputs["q"] = Output(work_ms=500)
+            task = asyncio.create_task(serve(vm, ask(world, path="/book/1")))
+            await world.clock.sleep_ms(50)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            assert all(s.running == 0 for s in world.port.servers.values())
+
+        with caplog.at_level(logging.INFO):
+            run_virtual(scenario())
+        (line,) = [r for r in caplog.records if "abandoned" in r.message]
+        assert line.request_id == "q" and line.servers
+        assert 45 <= line.elapsed_ms <= 60
+
+
 class TestStreams:
     """Answers that are series of events."""
 
@@ -313,8 +335,8 @@
 
         run_virtual(scenario())
 
-    def test_the_work_ends_when_the_caller_leaves(self):
-        """Guards against servers that generate for nobody."""
+    def test_the_work_ends_when_the_caller_leaves(self, caplog):
+        """Guards against servers that generate for nobody, and a missing log line."""
 
         async def scenario():
             world = World()
@@ -323,7 +345,10 @@
             await answer.chunks.aclose()
             assert all(s.running == 0 for s in world.port.servers.values())
 
-        run_virtual(scenario())
+        with caplog.at_level(logging.INFO):
+            run_virtual(scenario())
+        (line,) = [r for r in caplog.records if "abandoned" in r.message]
+        assert line.request_id == "q" and len(line.servers) == 1
 
     def test_no_attempts_left_ends_the_stream_with_an_error(self):
         async def scenario():
