prove: a cut stream is told from the end of an older one

The trace of one (kept logs): session 2 ends whole (StepEnded) in the same moment; the silent session 1 had ended meanwhile with a moved line that the trainer no longer reads, and the recorder compared a counter shared by both. Ruled out: the shutdown (its stages had no stream left to end; it was in the grace). Change: each stream says itself whether it ended with a closing line. Before / after: TestRecording in test_trainer.py: the older stream was noted as a cut, now not; a stream without a closing line still is. Conclusion: the check is as strict, for the stream that it names.

--- a/packages/ebonylb_standins/src/ebonylb_standins/prove/load.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/prove/load.py
@@ -282,15 +282,16 @@
         super().__init__(options, session)
         self.recorder, self.balancer = recorder, balancer
 
-    async def read(self, entry: str, number: int, heard: asyncio.Event) -> None:
+    async def read(self, entry: str, number: int, heard: asyncio.Event) -> bool:
         """Read a session through an entry VM that is ready."""
         vm = self.balancer.choose(self.random)
-        before, opened_ms = self.summary.broken, now_ms()
-        await super().read(self.balancer.cluster.url(vm), number, heard)
+        opened_ms = now_ms()
+        whole = await super().read(self.balancer.cluster.url(vm), number, heard)
         # A stream that the trainer left for a newer session ends with a `moved` that
         # it no longer reads.
-        if self.summary.broken > before and number == self.number:
+        if not whole and number == self.number:
             self.recorder.note(StreamCut, self.options.trainer, vm, opened_ms)
+        return whole
 
     def request(self, number: int) -> dict:
         """Note the opening of a session."""
--- a/packages/ebonylb_standins/src/ebonylb_standins/trainer.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/trainer.py
@@ -250,8 +250,8 @@
         """Return the headers of a trainer."""
         return {"Authorization": f"Bearer {self.options.token}"}
 
-    async def read(self, entry: str, number: int, heard: asyncio.Event) -> None:
-        """Read one session's stream to its end."""
+    async def read(self, entry: str, number: int, heard: asyncio.Event) -> bool:
+        """Read one session's stream; tell whether it ended as it should."""
         limits = aiohttp.ClientTimeout(total=None, sock_connect=2)
         try:
             async with self.http.post(
@@ -262,16 +262,17 @@
             ) as answer:
                 if answer.status != 200:
                     await self.refused(await answer.read())
-                    return
+                    return True
                 async for raw in answer.content:
                     heard.set()
                     line = msgspec.json.decode(raw, type=Line)
                     if self.accept(line, number):
-                        return
+                        return True
             self.summary.broken += 1  # ended without a closing line
         except (aiohttp.ClientError, OSError, msgspec.MsgspecError):
             self.summary.broken += 1
         await asyncio.sleep(RECONNECT_PAUSE_MS / 1000)
+        return False
 
     async def refused(self, body: bytes) -> None:
         """Count a refusal and wait as long as it says."""
--- a/packages/ebonylb_standins/tests/test_trainer.py
+++ b/packages/ebonylb_standins/tests/test_trainer.py
@@ -1,8 +1,12 @@
 import asyncio
 import json
+from types import SimpleNamespace
 
+import aiohttp
 from aiohttp import web
 
+from ebonylb_standins.prove.events import StreamCut
+from ebonylb_standins.prove.load import RecordingTrainer
 from ebonylb_standins.server import listening
 from ebonylb_standins.text import count_tokens, whole_answer
 from ebonylb_standins.trainer import Options, run_step
@@ -161,3 +165,58 @@
         assert "size_bytes" in posts[0]
         announced = {"version": 2, "step": 1, "session": 1}
         assert posts[2:] == [announced] * 2
+
+
+class TestRecording:
+    """What the proof records of a trainer's streams."""
+
+    def record(self, *scripts):
+        noted = []
+        recorder = SimpleNamespace(note=lambda kind, *fields: noted.append(kind))
+
+        async def scenario():
+            app = web.Application()
+            app.router.add_post("/v1/steps", Holder(*scripts).steps)
+            async with listening(app, "127.0.0.1:0") as address:
+                balancer = SimpleNamespace(
+                    choose=lambda random: "vm",
+                    cluster=SimpleNamespace(url=lambda vm: f"http://{address}"),
+                )
+                options = Options(["-"], limit_ms=10_000, silence_ms=200)
+                async with aiohttp.ClientSession() as session:
+                    await RecordingTrainer(options, session, recorder, balancer).run()
+
+        asyncio.run(scenario())
+        return noted
+
+    @staticmethod
+    async def whole(body):
+        for slot in range(len(body["prompts"]) * body["samples_per_group"]):
+            yield sample(body, slot)
+        yield {"type": "end", "delivered": 1, "failed": 0, "discarded": 0}
+
+    def test_the_end_of_an_older_stream_is_no_cut_of_the_newer_one(self):
+        """Guards against a violation that no caller sees.
+
+        Seed 74021 of the proof, beside load: the older, silent stream ended with
+        `moved` while the newer one was read, which then ended whole.
+        """
+        moved = asyncio.Event()
+
+        async def silent(body):
+            await asyncio.wait_for(moved.wait(), 5)
+            yield {"type": "moved", "reason": "superseded"}
+
+        async def newer(body):
+            moved.set()
+            await asyncio.sleep(0.1)
+            async for line in self.whole(body):
+                yield line
+
+        assert StreamCut not in self.record(silent, newer)
+
+    def test_a_stream_without_a_closing_line_is_a_cut(self):
+        async def cut(body):
+            yield sample(body, 0)
+
+        assert self.record(cut, self.whole).count(StreamCut) == 1
