forwarding: a resumable stream is asked for again after a failure

Cause: a server's 5xx, or a success without its seal, ended a stream at once although its route allows further attempts; plain repeatable requests go on. Ruled out: streams that may not be repeated (they keep the server's own answer). Before / after: the case /chat/ in test_forwarding.py got 500, now the whole stream.

--- a/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
@@ -11,7 +11,7 @@
 from ..fleet import ListedServer, ServerChoice, ServerDirectory
 from ..outcomes import Outcome, StepError
 from ..routes import Route, RouteKind, RouteTable, choose_target
-from .attempt import AttemptEnd, Fate, send_once
+from .attempt import SERVER_ERROR, AttemptEnd, Fate, is_spoiled, send_once
 from .messages import CallerAnswer, CallerRequest, CallerStream, refuse
 from .streams import open_in_time, relay_stream
 from .strikes import CrashStrikes, request_fingerprint
@@ -308,6 +308,13 @@
                 state.runs -= 1
                 state.refused += 1
                 continue
+            if head.status >= SERVER_ERROR or is_spoiled(head):
+                condition = self.directory.condition(server.name)
+                condition.move_failure_share(1.0, self.clock.monotonic_ms())
+                state.causes.append(f"{server.name}: status {head.status}")
+                if state.route.resumable and state.runs < state.route.attempts:
+                    answer.close()
+                    continue
             if head.status >= 300 or not head.sealed:
                 return await self.read_failure(state, answer)
             chunks = relay_stream(self, state, server, answer)
--- a/packages/ebonylb/tests/test_forwarding.py
+++ b/packages/ebonylb/tests/test_forwarding.py
@@ -294,6 +294,22 @@
 
         run_virtual(scenario())
 
+    @pytest.mark.parametrize(("path", "status"), [("/chat/1", 200), ("/live/1", 500)])
+    def test_only_a_resumable_stream_is_asked_for_again_after_a_failure(
+        self, path, status
+    ):
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            world.port.servers["p0"].mode = "fails"
+            answer = await serve(vm, self.stream_of(world, path))
+            assert answer.status == status
+            if status == 200:
+                assert [block async for block in answer.chunks] == blocks(1, 20)
+            assert runs(world) == (2 if status == 200 else 1)
+
+        run_virtual(scenario())
+
     def test_servers_that_are_silent_from_the_start_are_passed_over(self):
         """Guards against a resumable stream that waits for one dark server."""
 
