fleet, batches: less work at each event and each freed slot

Cause: the median gap over all servers of a service was worked out at each stream event, and each freed slot compared all waiting items with all servers. Change: the median is kept for 20 ms; of waiting items that ask for the same, the first one without a server speaks for all.

--- a/packages/ebonylb/src/ebonylb/batches/placement.py
+++ b/packages/ebonylb/src/ebonylb/batches/placement.py
@@ -58,6 +58,16 @@
     group: str = ""
     avoid: str | None = None
 
+    def conditions(self) -> tuple[object, ...]:
+        """Return what decides whether a server may take the item."""
+        return (
+            self.service,
+            self.model,
+            self.min_version,
+            self.exact_version,
+            self.avoid,
+        )
+
 
 @dataclass(slots=True)
 class Waiter:
@@ -121,12 +131,17 @@
         """Grant servers to waiting items in their order."""
         now = self.clock.monotonic_ms()
         left: list[Waiter] = []
+        # Servers only become fuller in this loop: of the items that ask for the same,
+        # the first one without a server speaks for all.
+        in_vain: set[tuple[object, ...]] = set()
         for waiter in self.waiters:
             if waiter.granted.cancelled():
                 continue
             forced = now - waiter.since_ms > FORCE_AFTER_MS
-            server = self.choose(waiter.need, forced)
+            asked = (forced, *waiter.need.conditions())
+            server = None if asked in in_vain else self.choose(waiter.need, forced)
             if server is None:
+                in_vain.add(asked)
                 left.append(waiter)
                 continue
             self.directory.condition(server.name).own += 1
--- a/packages/ebonylb/src/ebonylb/fleet/choice.py
+++ b/packages/ebonylb/src/ebonylb/fleet/choice.py
@@ -18,6 +18,8 @@
 USUAL_DURATION_MS = 30.0
 # Gap between stream events before any was observed.
 USUAL_GAP_MS = 40.0
+# Each stream event asks for the median over all servers; it is kept for half of a gap.
+USUAL_GAP_LIFE_MS = 20.0
 # Servers whose gaps are known before their median counts alone.
 LEAST_GAPS = 3
 # A full batch counts like this much slowness: tokens of a full batch take about a
@@ -45,6 +47,14 @@
     return 1 if place.regions.get(failure_domain) == place.region else 2
 
 
+@dataclass(frozen=True, slots=True)
+class UsualGap:
+    """Median gap of a service, and when it was worked out."""
+
+    gap_ms: float
+    made_ms: float
+
+
 class ServerChoice:
     """Ranks the servers of a service by what they are expected to cost.
 
@@ -62,6 +72,7 @@
         self.directory = directory
         self.clock = clock
         self.place = place
+        self.usual_gaps: dict[str, UsualGap] = {}
 
     def plain_cost_ms(self, server: ListedServer) -> float:
         """Return the expected duration of a plain request."""
@@ -98,6 +109,15 @@
 
     def usual_gap_ms(self, service: str) -> float:
         """Return the median gap between events over the servers of a service."""
+        now = self.clock.monotonic_ms()
+        found = self.usual_gaps.get(service)
+        if found is None or now - found.made_ms >= USUAL_GAP_LIFE_MS:
+            found = UsualGap(self.median_gap_ms(service), now)
+            self.usual_gaps[service] = found
+        return found.gap_ms
+
+    def median_gap_ms(self, service: str) -> float:
+        """Work the median gap of a service out."""
         gaps = [
             gap
             for server in self.directory.ready(service)
--- a/packages/ebonylb/tests/test_fleet.py
+++ b/packages/ebonylb/tests/test_fleet.py
@@ -140,6 +140,27 @@
             directory.put(server(name, domain))
         assert choice.choose_plain("desk").name == "here"
 
+    def test_the_usual_gap_is_not_worked_out_at_each_event(
+        self, directory, choice, clock, monkeypatch
+    ):
+        """Guards against a scan of all servers at each event of each stream."""
+        directory.put(server("here"))
+        scans = []
+        ready = directory.ready
+        monkeypatch.setattr(
+            directory, "ready", lambda service: scans.append(1) or ready(service)
+        )
+        first = choice.usual_gap_ms("desk")
+        for _ in range(200):
+            clock.now += 0.5
+            choice.usual_gap_ms("desk")
+        assert len(scans) <= 6
+        for name in ("one", "two", "three"):
+            directory.put(server(name))
+            directory.condition(name).gap_ms = 2 * first
+        clock.now += 25
+        assert choice.usual_gap_ms("desk") == 2 * first
+
     def test_a_full_near_server_is_passed_over(self, directory, choice, clock):
         directory.put(server("here", "north"))
         directory.put(server("far", "high"))
