--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/broken.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/broken.py
@@ -46,7 +46,7 @@
 
 def order_without_waiting() -> None:
     """The right to order a server is taken over at once."""
-    ledger.OrderLedger.may_claim = lambda self, server: True
+    ledger.OrderLedger.may_write = lambda self, group: True
     ledger.OrderLedger.holds = lambda self, server: True
 
 
