--- a/packages/ebonylb_standins/src/ebonylb_standins/sessions/catalogue.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/sessions/catalogue.py
@@ -12,6 +12,8 @@
 from .script import Script
 
 LIMIT_S = 25
+# Of each entry VM's log in a failed session: the stages of a shutdown have 2,000.
+LOG_END_CHARACTERS = 3_000
 GOLDENS = Path(__file__).parents[3] / "tests" / "goldens"
 
 
@@ -61,16 +63,36 @@
         entry_command=entry_command,
     )
     script = Script(cluster)
+    ends_of_logs = ""
     try:
         async with asyncio.timeout(LIMIT_S), cluster:
-            await plan.play(script)
+            try:
+                await plan.play(script)
+            except BaseException:
+                # A session at its limit is cancelled; the logs go with the cluster.
+                ends_of_logs = entry_vm_logs(cluster)
+                raise
     except Exception as error:
         error.add_note("transcript until then:\n" + "\n".join(script.lines))
+        error.add_note(ends_of_logs)
         raise
     title = (plan.play.__doc__ or name).splitlines()[0]
     return "\n".join([title, *script.lines]) + "\n"
 
 
+def entry_vm_logs(cluster: Cluster) -> str:
+    """Return the ends of the entry VMs' logs, with what still runs."""
+    parts = []
+    for vm in cluster.topology.entry_vms:
+        process = cluster.processes.get(vm.name)
+        if process is None:
+            parts.append(f"{vm.name}: not started")
+            continue
+        state = "running" if process.running else "ended"
+        parts.append(f"{vm.name} ({state}):\n{process.log()[-LOG_END_CHARACTERS:]}")
+    return "\n".join(parts)
+
+
 def golden_file(name: str) -> Path:
     """Return the path of a session's golden file."""
     return GOLDENS / f"{name}.txt"
