Closing a duty waits until its tasks have really ended

In Python 3.11 asyncio.wait_for returns the result in place of a cancellation that comes after its future is done, and the HTTP library loses one that falls together with its timeout; the loop then goes on and the wait for it never ends. Shown for the group commit: a batch that becomes full in the step of the event loop in which the group is closed.

--- a/packages/ebonylb/src/ebonylb/backends/registry.py
+++ b/packages/ebonylb/src/ebonylb/backends/registry.py
@@ -12,6 +12,7 @@
 from ..edges import Clock, VmEntry, VmKind, VmState
 from ..outcomes import StepError
 from ..peers.messages import MarksQuery, Message, ServerMark
+from ..tasks import cancel_and_wait
 from .marks import MarkTable
 from .model import BackendServer, ServerState
 
@@ -364,10 +365,8 @@
 
     async def close(self) -> None:
         """Cancel all probes."""
-        tasks = list(self.probing.values())
-        for name in list(self.probing):
-            self.stop_probe(name)
-        await asyncio.gather(*tasks, return_exceptions=True)
+        tasks, self.probing = list(self.probing.values()), {}
+        await cancel_and_wait(tasks)
 
 
 def from_entry(entry: VmEntry) -> BackendServer:
--- a/packages/ebonylb/src/ebonylb/backends/spread.py
+++ b/packages/ebonylb/src/ebonylb/backends/spread.py
@@ -8,6 +8,7 @@
 from ..outcomes import StepError
 from ..peers import PeerBus
 from ..peers.messages import MarksQuery, ServerMark
+from ..tasks import cancel_and_wait
 
 logger = logging.getLogger(__name__)
 
@@ -107,6 +108,4 @@
 
     async def close(self) -> None:
         """Cancel all sendings."""
-        for task in list(self.tasks):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await cancel_and_wait(self.tasks)
--- a/packages/ebonylb/src/ebonylb/calls/journal.py
+++ b/packages/ebonylb/src/ebonylb/calls/journal.py
@@ -6,7 +6,6 @@
 import math
 import random
 from collections import deque
-from contextlib import suppress
 from dataclasses import dataclass
 
 from result import Err, Ok, Result
@@ -14,6 +13,7 @@
 from ..edges import CallAnswer, Check, Clock, ObjectStore, Row, TableService, Write
 from ..outcomes import Outcome, Refusal, StepError
 from ..storage import GroupCommit
+from ..tasks import cancel_and_wait
 from .records import INLINE_BYTES, TABLE, CallRecord, result_value, row_value
 
 logger = logging.getLogger(__name__)
@@ -101,9 +101,7 @@
     async def close(self, limit_ms: float) -> int:
         """Write what waits, without spreading; return the number of rows left."""
         if self.task is not None:
-            self.task.cancel()
-            with suppress(asyncio.CancelledError):
-                await self.task
+            await cancel_and_wait([self.task])
         deadline = self.clock.monotonic_ms() + limit_ms
         pause = FIRST_PAUSE_MS
         while self.waiting and self.clock.monotonic_ms() < deadline:
--- a/packages/ebonylb/src/ebonylb/configuration/spread.py
+++ b/packages/ebonylb/src/ebonylb/configuration/spread.py
@@ -15,6 +15,7 @@
 from ..outcomes import StepError
 from ..peers import PeerBus
 from ..peers.messages import ConfigurationUpdate, FetchConfiguration, Message
+from ..tasks import cancel_and_wait
 from .sheet import Sheet
 from .stall import CONFIRM_LIMIT_MS, StallGate
 from .state import ConfigurationState
@@ -95,10 +96,7 @@
 
     async def cancel_tasks(self) -> None:
         """Cancel the running tasks and wait until they have ended."""
-        tasks = list(self.tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_and_wait(self.tasks)
 
     def spawn(self, work: "Awaitable[None]") -> None:
         """Run work in a task of its own."""
@@ -278,9 +276,7 @@
         except TimeoutError:
             logger.warning("revision %d was not confirmed", self.state.revision)
         finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await cancel_and_wait(tasks)
 
 
 def choose_pollers(entry_vms: Collection[str]) -> list[str]:
--- a/packages/ebonylb/src/ebonylb/membership/duty.py
+++ b/packages/ebonylb/src/ebonylb/membership/duty.py
@@ -12,6 +12,7 @@
 from ..peers import PeerBus
 from ..peers.messages import Digests, Heartbeat, Message, ShardDigest
 from ..settings import Settings
+from ..tasks import cancel_and_wait
 from .gossip import Gossip
 from .incarnation import new_incarnation
 from .monitor import PeerMonitor, log_failure
@@ -140,9 +141,7 @@
 
     async def close(self) -> None:
         """Stop all tasks; the links stay with the bus."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await cancel_and_wait(self.tasks)
         for monitor in list(self.monitors.values()):
             await monitor.close()
         self.monitors.clear()
--- a/packages/ebonylb/src/ebonylb/membership/monitor.py
+++ b/packages/ebonylb/src/ebonylb/membership/monitor.py
@@ -7,6 +7,7 @@
 
 from ..outcomes import StepError
 from ..peers.messages import Heartbeat
+from ..tasks import cancel_and_wait
 from .delta import HeartbeatDelta
 
 if TYPE_CHECKING:
@@ -184,6 +185,4 @@
 
     async def close(self) -> None:
         """Stop both tasks."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await cancel_and_wait(self.tasks)
--- a/packages/ebonylb/src/ebonylb/peers/link.py
+++ b/packages/ebonylb/src/ebonylb/peers/link.py
@@ -10,6 +10,7 @@
 import zmq.asyncio
 
 from ..outcomes import StepError
+from ..tasks import cancel_and_wait
 from .messages import Failed, Message, decode, encode
 from .traffic import Traffic
 
@@ -157,9 +158,7 @@
 
     async def close(self) -> None:
         """Stop the tasks and close the socket."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await cancel_and_wait(self.tasks)
         self.fail("link closed")
         self.socket.disable_monitor()
         self.monitor.close(linger=0)
--- a/packages/ebonylb/src/ebonylb/routing/owner.py
+++ b/packages/ebonylb/src/ebonylb/routing/owner.py
@@ -16,6 +16,7 @@
     SizePredictor,
     policy_knobs,
 )
+from ..tasks import cancel_and_wait
 from .dispatcher import Dispatcher
 from .jobs import Job, Whole, is_generate
 from .overload import DrainRate, Overload, moved, struck_out
@@ -388,6 +389,4 @@
         self.wiring.book.listeners.discard(self.on_strikes)
         for job in list(self.jobs):
             self.end(job, moved(job.outcome()))
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await cancel_and_wait(self.tasks)
--- a/packages/ebonylb/src/ebonylb/steps/holder.py
+++ b/packages/ebonylb/src/ebonylb/steps/holder.py
@@ -10,6 +10,7 @@
 from ..edges import Clock
 from ..outcomes import Outcome, Refusal
 from ..routing import Executor, GenerateWork, Work
+from ..tasks import cancel_and_wait
 from .attempts import Attempt, TooOld, Whole
 from .declaration import StepDeclaration
 from .lines import End, Failed, Line, Moved
@@ -225,9 +226,7 @@
                     tasks.add(self.start_attempt(slot, run))
         finally:
             del self.running[slot]
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await cancel_and_wait(tasks)
 
     @property
     def poll_s(self) -> float:
--- a/packages/ebonylb/src/ebonylb/storage/group_commit.py
+++ b/packages/ebonylb/src/ebonylb/storage/group_commit.py
@@ -14,6 +14,7 @@
 
 from ..edges import Check, Clock, Committed, Conflict, Row, TableService, Write
 from ..outcomes import StepError, new_token
+from ..tasks import cancel_and_wait
 from .settle import transact_settled
 
 FLUSH_MS = 50
@@ -109,9 +110,7 @@
         """Flush what waits and stop; later submissions fail as not run."""
         self.closed = True
         if self.loop_task is not None:
-            self.loop_task.cancel()
-            with suppress(asyncio.CancelledError):
-                await self.loop_task
+            await cancel_and_wait([self.loop_task])
         while self.pending or self.flushing:
             await self.start_flush()
             await asyncio.gather(*self.flushing, return_exceptions=True)
--- a/packages/ebonylb/src/ebonylb/weights/duty.py
+++ b/packages/ebonylb/src/ebonylb/weights/duty.py
@@ -6,6 +6,7 @@
 
 from ..backends import BackendServer
 from ..edges import Clock, ModelEngine, TableService, WeightStore
+from ..tasks import cancel_and_wait
 from .rollout import SOURCE_POLL_MS, RegionView, ShardRef, ShardRollout
 from .versions import CurrentVersions
 
@@ -97,9 +98,7 @@
             tasks = list(self.shards.values())
             if tasks:
                 await asyncio.wait(tasks, timeout=RELEASE_LIMIT_S)
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await cancel_and_wait(tasks)
 
     async def poll_once(self) -> None:
         """Read the versions once, and start or stop rollouts as shards move."""
--- a/packages/ebonylb/src/ebonylb/weights/lease.py
+++ b/packages/ebonylb/src/ebonylb/weights/lease.py
@@ -11,6 +11,7 @@
 from ..edges import Check, Clock, Committed, Row, TableService, Write
 from ..outcomes import StepError, new_token
 from ..storage import transact_settled
+from ..tasks import cancel_and_wait
 
 TABLE = "lease"
 # A successor of a dead holder waits for one term, within the 10 s in which a version
@@ -171,8 +172,7 @@
         try:
             yield
         finally:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+            await cancel_and_wait([task])
 
     async def store(self, fields: dict[str, Any]) -> bool:
         """Write additional fields into the held row."""
--- a/packages/ebonylb/tests/test_calls.py
+++ b/packages/ebonylb/tests/test_calls.py
@@ -372,6 +372,38 @@
         assert (index, conflicts, counts.rows) == (3, 1, 120)
         assert counts.transactions == 5  # 1 alone, 3 batches, 1 sent again
 
+    @pytest.mark.parametrize("steps", range(6))
+    def test_close_ends_while_a_batch_becomes_full(self, steps):
+        """Guards against a shutdown that never ends.
+
+        Where a batch became full in the step of the event loop in which the group was
+        closed, the wait for it returned in place of the cancellation.
+        """
+
+        async def scenario(world, backend):
+            group = GroupCommit(
+                Platform(world, world.machines["a"]),
+                LoopClock(),
+                flush_ms=1_000,
+                batch_items=2,
+            )
+            await group.start()
+            waiting = []
+            for key in ("0", "1"):
+                submitted = group.submit([Check("t", key, 0)], [Write("t", key, {})])
+                waiting.append(asyncio.ensure_future(submitted))
+                await asyncio.sleep(0.1 if key == "0" else 0)
+            for _ in range(steps):
+                await asyncio.sleep(0)
+            closing = asyncio.ensure_future(group.close())
+            _, unfinished = await asyncio.wait([closing], timeout=5)
+            assert not unfinished
+            return [
+                isinstance(outcome, Ok) for outcome in await asyncio.gather(*waiting)
+            ]
+
+        assert play(1, scenario) == [True, True]
+
     def test_bounded_and_settled_after_lost_answers(self):
         """Guards against writes counted as failed, or twice, after a lost answer."""
 
