shutdown: a stage that does not end says what it waits for

Ruled out: a limit on the stage; streams of many minutes are allowed to end.

Now every 2 s one line names the requests in flight, or the jobs with their servers. Before: no such line (the test fails on it). After: it passes; docs/operating.md says what to do with the line. The fault itself stays untraced.

--- a/packages/ebonylb/src/ebonylb/api/admission.py
+++ b/packages/ebonylb/src/ebonylb/api/admission.py
@@ -12,6 +12,7 @@
 
 WORK_PREFIX = "/v1/"
 NOT_READY_RETRY_MS = 1_000
+REQUESTS_NAMED = 5  # in the line that tells what a leaving process waits for
 
 
 class Admission:
@@ -25,7 +26,7 @@
 
     def __init__(self, admits: Callable[[], bool]) -> None:
         self.admits = admits
-        self.in_flight = 0
+        self.requests: dict[int, web.Request] = {}  # by identity, they have no hash
         self.idle = asyncio.Event()
         self.idle.set()
 
@@ -40,15 +41,28 @@
             response = refusal_response(not_ready(request), request_id_of(request))
             response.force_close()
             return response
-        self.in_flight += 1
+        self.requests[id(request)] = request
         self.idle.clear()
         try:
             return await handler(request)
         finally:
-            self.in_flight -= 1
-            if self.in_flight == 0:
+            del self.requests[id(request)]
+            if not self.requests:
                 self.idle.set()
 
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that are being answered."""
+        return len(self.requests)
+
+    def waits_for(self) -> str:
+        """Return the number of requests in flight, and some of them."""
+        some = [
+            f"{r.method} {r.path} {r.headers.get('X-Request-Id', 'without id')}"
+            for r in list(self.requests.values())[:REQUESTS_NAMED]
+        ]
+        return f"{self.in_flight} requests in flight: {', '.join(some)}"
+
 
 def not_ready(request: web.Request) -> Refusal:
     """Return the refusal of an entry VM that takes no new work.
--- a/packages/ebonylb/src/ebonylb/routing/owner_table.py
+++ b/packages/ebonylb/src/ebonylb/routing/owner_table.py
@@ -23,6 +23,7 @@
 from .work import CallWork, GenerateWork, Work
 
 IDLE_MS = 60_000
+JOBS_NAMED = 5  # in the line that tells what a leaving process waits for
 
 
 class OwnerTable(LocalOwners):
@@ -148,6 +149,16 @@
         self.draining = True
         await asyncio.gather(*(owner.drain() for owner in self.owners.values()))
 
+    def waits_for(self) -> str:
+        """Return the jobs of all owners, with the servers that run them."""
+        jobs = [job for owner in self.owners.values() for job in owner.jobs]
+        some = [
+            f"{job.work.request_id} on "
+            + (", ".join(a.slot.name for a in job.attempts) or "no server")
+            for job in jobs[:JOBS_NAMED]
+        ]
+        return f"{len(jobs)} jobs: {'; '.join(some)}"
+
     async def close(self) -> None:
         """Close all owners."""
         self.draining = True
--- a/packages/ebonylb/src/ebonylb/service/app.py
+++ b/packages/ebonylb/src/ebonylb/service/app.py
@@ -386,9 +386,13 @@
         timing = self.settings.timing
         stages = ShutdownStages()
         stages.add(StageKind.TELL_PEERS, self.membership.announce)
-        stages.add(StageKind.HAND_BACK_QUEUE, self.owners.drain)
+        stages.add(StageKind.HAND_BACK_QUEUE, self.owners.drain, self.owners.waits_for)
         stages.add(StageKind.HAND_BACK_QUEUE, lambda: self.steps.drain(STEP_STAGE_MS))
-        stages.add(StageKind.WAIT_IN_FLIGHT, self.admission.idle.wait)
+        stages.add(
+            StageKind.WAIT_IN_FLIGHT,
+            self.admission.idle.wait,
+            self.admission.waits_for,
+        )
         stages.add(StageKind.FLUSH_JOURNAL, self.marks.flush)
         stages.add(StageKind.FLUSH_JOURNAL, lambda: self.calls.close(JOURNAL_STAGE_MS))
         await shutdown(
--- a/packages/ebonylb/src/ebonylb/shutdown/sequence.py
+++ b/packages/ebonylb/src/ebonylb/shutdown/sequence.py
@@ -7,6 +7,7 @@
 from enum import IntEnum
 
 from ..edges import Clock
+from ..tasks import cancel_and_wait
 from .lifecycle import EntryVmLifecycle
 
 logger = logging.getLogger(__name__)
@@ -16,6 +17,9 @@
 # The journal holds answers that callers may ask for again. It gets this part of the
 # limit even when work before it does not end.
 FLUSH_SHARE = 0.1
+# A stage that still runs says what it waits for at this interval. The usual stages end
+# within it; streams may hold one for minutes, at one line each interval.
+STILL_RUNS_MS = 2_000.0
 
 
 class StageKind(IntEnum):
@@ -48,15 +52,24 @@
     """
 
     stages: dict[StageKind, list[Stage]] = field(default_factory=dict)
+    waits: dict[StageKind, list[Callable[[], str]]] = field(default_factory=dict)
 
-    def add(self, kind: StageKind, stage: Stage) -> None:
-        """Register an asynchronous function for a stage."""
+    def add(
+        self, kind: StageKind, stage: Stage, waits_for: Callable[[], str] | None = None
+    ) -> None:
+        """Register an asynchronous function, and what tells what it waits for."""
         self.stages.setdefault(kind, []).append(stage)
+        if waits_for is not None:
+            self.waits.setdefault(kind, []).append(waits_for)
 
     def of(self, kind: StageKind) -> list[Stage]:
         """Return the functions of a stage."""
         return self.stages.get(kind, [])
 
+    def waits_for(self, kind: StageKind) -> str:
+        """Return what the functions of a stage wait for."""
+        return "; ".join(wait() for wait in self.waits.get(kind, [])) or "not known"
+
 
 async def shutdown(
     lifecycle: EntryVmLifecycle,
@@ -102,11 +115,26 @@
         elif kind is StageKind.HAND_BACK_QUEUE and lifecycle.state == "leaving":
             lifecycle.finish()
         end = stage_end(kind, started, limit_ms, clock)
-        reports.append(await run_stage(kind, functions, clock, end))
+        teller = asyncio.create_task(tell_waits(kind, stages, clock))
+        try:
+            reports.append(await run_stage(kind, functions, clock, end))
+        finally:
+            await cancel_and_wait([teller])
     lifecycle.stop()
     return reports
 
 
+async def tell_waits(kind: StageKind, stages: ShutdownStages, clock: Clock) -> None:
+    """Log what a long stage waits for, until cancelled."""
+    while True:
+        await clock.sleep_ms(STILL_RUNS_MS)
+        logger.info(
+            "shutdown stage %s still runs, waits for: %s",
+            kind.name,
+            stages.waits_for(kind),
+        )
+
+
 def stage_end(
     kind: StageKind, started_ms: float, limit_ms: float, clock: Clock
 ) -> float:
--- a/packages/ebonylb/tests/test_shutdown.py
+++ b/packages/ebonylb/tests/test_shutdown.py
@@ -2,10 +2,19 @@
 import time
 
 import pytest
+from aiohttp import web
+from aiohttp.test_utils import make_mocked_request
 from transitions import MachineError
 
+from ebonylb.api.admission import Admission
 from ebonylb.edges import Clock
-from ebonylb.shutdown import EntryVmLifecycle, ShutdownStages, StageKind, shutdown
+from ebonylb.shutdown import (
+    EntryVmLifecycle,
+    ShutdownStages,
+    StageKind,
+    sequence,
+    shutdown,
+)
 
 
 class RealClock(Clock):
@@ -99,3 +108,41 @@
         lifecycle, _, _ = run({})
         again = shutdown(lifecycle, ShutdownStages(), RealClock(), 0, 1_000)
         assert asyncio.run(again) == []
+
+
+class TestExplanation:
+    def test_a_stage_that_does_not_end_says_what_it_waits_for(
+        self, monkeypatch, caplog
+    ):
+        """Guards against a leaving process that hangs without a reason in its log."""
+        monkeypatch.setattr(sequence, "STILL_RUNS_MS", 20.0)
+        lifecycle = EntryVmLifecycle()
+        lifecycle.become_ready()
+        stages = ShutdownStages()
+        stages.add(StageKind.WAIT_IN_FLIGHT, hang, lambda: "request r-1")
+        with caplog.at_level("INFO"):
+            asyncio.run(shutdown(lifecycle, stages, RealClock(), 1, 200))
+        assert (
+            "shutdown stage WAIT_IN_FLIGHT still runs, waits for: request r-1"
+            in caplog.messages
+        )
+
+    def test_requests_in_flight_are_named(self):
+        """Guards against a count alone, which leads to no request's own lines."""
+
+        async def scenario():
+            admission = Admission(lambda: True)
+            told = []
+
+            async def handler(request):
+                told.append(admission.waits_for())
+                return web.Response()
+
+            headers = {"X-Request-Id": "r-1"}
+            request = make_mocked_request("POST", "/v1/generate", headers)
+            await admission.middleware(request, handler)
+            return told, admission.waits_for(), admission.idle.is_set()
+
+        told, after, idle = asyncio.run(scenario())
+        assert told == ["1 requests in flight: POST /v1/generate r-1"]
+        assert after == "0 requests in flight: " and idle
