bench: steps of trainers on the users' platform, with a baseline

The policy bench had only the loads of the project's own interface; those of the users' platform were single tests without a before and after.

Rows: one engine in five slowed four times, a third of the engines lost and back, loads of weights while groups run, two trainers due together with half the engines. The baseline sends items in order to the engine with the fewest own requests.

--- a/packages/ebonylb_standins/src/ebonylb_standins/bench/runner.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/bench/runner.py
@@ -7,8 +7,9 @@
 from functools import partial
 from statistics import median
 
-from . import scenarios, trainers
+from . import scenarios, site_steps, trainers
 from .layout import SITES
+from .site_steps import SiteTrial
 from .trial import Trial
 
 PROFILES = ("balanced", "idle_time", "tail_latency")
@@ -19,13 +20,16 @@
 class Row:
     """Scenario with the figure that has a target in design 1.2.
 
-    Rows that the profile does not concern run with the balanced one only.
+    Rows that the profile does not concern run with the balanced one only. `trial` is
+    what a run is made on: callers of the project's own interface, or trainers on the
+    users' platform.
     """
 
     run: object
     figure: str
     target: str
     profiles: bool = True
+    trial: type = Trial
 
 
 ROWS = {
@@ -36,6 +40,16 @@
     "fairness": Row(scenarios.fairness, "jain", ">= 0.98", False),
     "failing_calls": Row(scenarios.failing_calls, "extra", "<= 0.10", False),
     "cross_region": Row(scenarios.cross_region, "part", "< 0.01", False),
+    "step_with_slow_engine": Row(
+        site_steps.step_with_slow_engine, "ratio", "<= 1.3", False, SiteTrial
+    ),
+    "step_with_lost_engines": Row(
+        site_steps.step_with_lost_engines, "ratio", "", False, SiteTrial
+    ),
+    "step_with_loads": Row(site_steps.step_with_loads, "ratio", "", False, SiteTrial),
+    "steps_due_together": Row(
+        site_steps.steps_due_together, "longest_s", "", False, SiteTrial
+    ),
 }
 
 
@@ -53,7 +67,8 @@
     """Run a job."""
     kind = "baseline" if job.column == "baseline" else "policy"
     profile = "balanced" if job.column == "baseline" else job.column
-    return ROWS[job.name].run(partial(Trial, job.place, kind, profile, job.seed))
+    row = ROWS[job.name]
+    return row.run(partial(row.trial, job.place, kind, profile, job.seed))
 
 
 def jobs_for(names, seeds, places=tuple(SITES), columns=COLUMNS):
