storage: the return of a silent store is noticed within a second

Cause: a feed call waits a second for changes and is given up 0.8 s later, and a failed call was followed by a pause of up to 0.6 s. A call begun while the store was silent hung until its limit after the store was back, so that up to 2.4 s passed; all entry VMs did this in step.

Ruled out: shorter limits (a store slowed sixtyfold answers after 240 ms, twice).

A lost store is now asked without a wait for changes; the pause counts from the begin of the failed call, with a random part that drives the entry VMs apart.

--- a/packages/ebonylb/src/ebonylb/storage/follower.py
+++ b/packages/ebonylb/src/ebonylb/storage/follower.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 
@@ -18,8 +19,12 @@
 # Pause between two feed calls that both brought rows: bounds the calls of a table that
 # changes all the time.
 PACE_MS = 60
+# Time between the beginnings of two calls that fail. A call without an answer has taken
+# longer already. Entry VMs lose the store together: a random pause of up to the last
+# value drives their calls apart before it returns.
 RETRY_MS = 150
 LONGEST_RETRY_MS = 600
+SPREAD_MS = 150
 
 
 class TableReader(ABC):
@@ -96,20 +101,24 @@
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        pause = RETRY_MS
+        pace = RETRY_MS
         reread = True
         while True:
+            began_ms = self.clock.monotonic_ms()
             failed = await (self.read_all() if reread else self.read_changes())
             if failed is None:
-                reread, pause = False, RETRY_MS
+                reread, pace = False, RETRY_MS
                 continue
             reread = reread or isinstance(failed, HistoryLostError)
             if isinstance(failed, HistoryLostError):
                 logger.info("table read again", extra={"table": self.table})
                 continue
             self.note_failure(failed)
-            await self.clock.sleep_ms(pause)
-            pause = min(LONGEST_RETRY_MS, pause * 2)
+            taken_ms = self.clock.monotonic_ms() - began_ms
+            await self.clock.sleep_ms(
+                max(0.0, pace - taken_ms) + random.uniform(0.0, SPREAD_MS)
+            )
+            pace = min(LONGEST_RETRY_MS, pace * 2)
 
     async def read_all(self) -> Exception | None:
         """Read the whole table; return the failure, if any."""
@@ -125,7 +134,10 @@
 
     async def read_changes(self) -> Exception | None:
         """Read the feed once; return the failure, if any."""
-        answer = await self.store.changes(self.table, self.version, WAIT_MS)
+        # A store that was lost is asked for an answer at once: one that returned then
+        # shows it, and one that is silent is given up without the wait for changes.
+        wait_ms = 0 if self.healthy_since_ms is None else WAIT_MS
+        answer = await self.store.changes(self.table, self.version, wait_ms)
         if isinstance(answer, Err):
             return answer.err_value
         self.note_success()
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/row_store.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/row_store.py
@@ -20,6 +20,11 @@
 )
 from ebonylb.outcomes import StepError
 
+# A client gives a silent store up after these, as the adapter of the users' store does.
+CALL_TIMEOUT_MS = 1_500.0
+FEED_SLACK_MS = 800.0
+STORE_AHEAD_MS = 5_000_000.0
+
 
 @dataclass(slots=True)
 class StoreFaults:
@@ -29,6 +34,8 @@
     ----------
     down : bool
         Calls fail at once and nothing is done.
+    silent : bool
+        Calls that begin now get no answer until they time out, and nothing is done.
     lose_answers : int
         So many transactions are done and not answered.
     late_ms : list of float
@@ -39,6 +46,7 @@
     """
 
     down: bool = False
+    silent: bool = False
     lose_answers: int = 0
     late_ms: list[float] = field(default_factory=list)
     delay_ms: float = 4.0
@@ -104,6 +112,24 @@
         self.faults = StoreFaults()
         self.tasks: set[asyncio.Task[None]] = set()
 
+    def store_ms(self) -> float:
+        """Return the store's own time, which differs from that of its callers."""
+        return self.clock.monotonic_ms() + STORE_AHEAD_MS
+
+    async def is_lost(self, wait_ms: float = 0.0) -> bool:
+        """Take the time of a call; tell whether it fails.
+
+        Parameters
+        ----------
+        wait_ms : float
+            Longest time after which the caller gives a silent store up.
+        """
+        if self.faults.silent:
+            await self.clock.sleep_ms(wait_ms)
+            return True
+        await self.clock.sleep_ms(self.faults.delay_ms)
+        return self.faults.down
+
     def failure(self, may_have_run: bool) -> Err[StepError]:
         """Return the error of a call."""
         return Err(StepError("store", "memory", "fault", may_have_run))
@@ -112,9 +138,9 @@
         self, conditions: Sequence[Condition], puts: Sequence[Put]
     ) -> Result[Applied | Mismatch, StepError]:
         """Apply a transaction, or fail as the faults say."""
-        await self.clock.sleep_ms(self.faults.delay_ms)
-        if self.faults.down:
-            return self.failure(False)
+        silent = self.faults.silent
+        if await self.is_lost(CALL_TIMEOUT_MS):
+            return self.failure(silent)
         if self.faults.late_ms:
             delay = self.faults.late_ms.pop(0)
             task = asyncio.create_task(self.apply_late(delay, conditions, puts))
@@ -137,8 +163,7 @@
         self, table: str, part: str = "", start: str = "", end: str = ""
     ) -> Result[Page, StepError]:
         """Read a range."""
-        await self.clock.sleep_ms(self.faults.delay_ms)
-        if self.faults.down:
+        if await self.is_lost(CALL_TIMEOUT_MS):
             return self.failure(False)
         rows = [
             row
@@ -148,25 +173,29 @@
             and (not end or at.key < end)
         ]
         rows.sort(key=lambda row: row.at.key)
-        return Ok(Page(tuple(rows), self.data.version))
+        return Ok(Page(tuple(rows), self.data.version, store_ms=self.store_ms()))
 
     async def read_table(self, table: str) -> Result[Page, StepError]:
         """Read all partitions."""
-        await self.clock.sleep_ms(self.faults.delay_ms)
-        if self.faults.down:
+        if await self.is_lost(CALL_TIMEOUT_MS):
             return self.failure(False)
         rows = [row for at, row in self.data.rows.items() if at.table == table]
-        return Ok(Page(tuple(rows), self.data.version))
+        return Ok(Page(tuple(rows), self.data.version, store_ms=self.store_ms()))
 
     async def changes(
         self, table: str, after: int, wait_ms: int
     ) -> Result[Page, StepError]:
         """Wait for changes."""
-        await self.clock.sleep_ms(self.faults.delay_ms)
+        if await self.is_lost(wait_ms + FEED_SLACK_MS):
+            return self.failure(False)
         ends_ms = self.clock.monotonic_ms() + wait_ms
         while True:
             if self.faults.down:
                 return self.failure(False)
+            if self.faults.silent:
+                left = ends_ms + FEED_SLACK_MS - self.clock.monotonic_ms()
+                await self.clock.sleep_ms(left)
+                return self.failure(False)
             if after < self.data.dropped_before:
                 return Err(HistoryLostError("store", "memory", "dropped", False))
             rows = [
@@ -176,7 +205,9 @@
             ]
             left = ends_ms - self.clock.monotonic_ms()
             if rows or left <= 0:
-                return Ok(Page(tuple(rows), self.data.version))
+                return Ok(
+                    Page(tuple(rows), self.data.version, store_ms=self.store_ms())
+                )
             try:
                 async with asyncio.timeout(left / 1000):
                     await self.data.changed.wait()
