batches: a starting entry VM judges a holder's silence by the store's clock

Ruled out: the wall clocks of the entry VMs (they may be set); versions of rows (they tell no time); claims without a wait (an entry VM that restarts alone would take every running batch).

The progress row carries the store's steady clock at the last write. An entry VM takes that age into account for rows that it finds at its start, unless the store failed while it started: then the outage would count as silence.

The new test failed before; two others hold the cases in which the claim must wait and passed before.

--- a/packages/ebonylb/src/ebonylb/batches/board.py
+++ b/packages/ebonylb/src/ebonylb/batches/board.py
@@ -10,6 +10,7 @@
 from ..edges import Clock
 from ..edges.row_store import StoredRow
 from ..storage.follower import TableReader
+from ..storage.store_time import StoreTime
 from . import rows
 from .model import Progress
 from .repository import StoredProgress
@@ -37,10 +38,13 @@
     ----------
     clock : Clock
         Source of time.
+    store_time : StoreTime
+        Tells how old a row is that was there before this entry VM started.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, store_time: StoreTime) -> None:
         self.clock = clock
+        self.store_time = store_time
         self.seen: dict[str, Seen] = {}
         self.listeners: list[Callable[[Seen], None]] = []
         self.changed = asyncio.Event()
@@ -74,7 +78,11 @@
         for batch_id in [b for b in self.seen if b not in present]:
             if self.seen[batch_id].stored.version <= newest:
                 self.forget(batch_id)
+        known = set(self.seen)
         self.change_rows(found)
+        for batch_id, seen in self.seen.items():
+            if batch_id not in known:
+                seen.changed_ms -= self.store_time.age_ms(seen.progress.written_ms)
 
     def change_rows(self, found: Sequence[StoredRow]) -> None:
         """Take over changed and deleted rows."""
--- a/packages/ebonylb/src/ebonylb/batches/custody.py
+++ b/packages/ebonylb/src/ebonylb/batches/custody.py
@@ -265,7 +265,10 @@
             if not handed.begun:
                 return False
             del self.handed_over[batch_id]
-        silent = now_ms - max(seen.changed_ms, self.follower.healthy_since_ms or now_ms)
+        healthy_ms = self.follower.healthy_since_ms
+        silent = now_ms - max(
+            seen.changed_ms, now_ms if healthy_ms is None else healthy_ms
+        )
         if progress.holder == self.name:
             return progress.incarnation != self.incarnation or silent > SILENCE_MS
         rank = xxh64_intdigest(f"{batch_id}/{self.name}".encode()) % 1_000 / 1_000
@@ -400,7 +403,10 @@
         batch_id = stored.progress.header.batch_id
         for _ in range(CLAIM_TRIES):
             after = stored.progress.written(
-                new_token(), holder=self.name, incarnation=self.incarnation
+                new_token(),
+                holder=self.name,
+                incarnation=self.incarnation,
+                written_ms=self.repository.store_time.now_ms(),
             )
             sent = await self.repository.replace(stored.version, after)
             claimed = sent.ok_value if isinstance(sent, Ok) else None
--- a/packages/ebonylb/src/ebonylb/batches/duty.py
+++ b/packages/ebonylb/src/ebonylb/batches/duty.py
@@ -78,7 +78,13 @@
         if self.custody.leaving or route is None:
             return UNSURE
         holder, incarnation = self.custody.usual_holder(batch.header)
-        progress = Progress(batch.header, holder, incarnation, token=new_token())
+        progress = Progress(
+            batch.header,
+            holder,
+            incarnation,
+            token=new_token(),
+            written_ms=self.repository.store_time.now_ms(),
+        )
         if self.custody.is_mine(progress):
             self.custody.claiming.add(batch_id)
         created = await self.repository.create(batch, progress)
--- a/packages/ebonylb/src/ebonylb/batches/holder.py
+++ b/packages/ebonylb/src/ebonylb/batches/holder.py
@@ -308,6 +308,7 @@
             listed=listed,
             ended=self.progress.closed or listed >= self.batch.header.total,
             holder="" if self.releasing else self.progress.holder,
+            written_ms=self.repository.store_time.now_ms(),
         )
         self.attempted[after.token] = chosen
         sent = await self.repository.commit(
--- a/packages/ebonylb/src/ebonylb/batches/model.py
+++ b/packages/ebonylb/src/ebonylb/batches/model.py
@@ -127,6 +127,8 @@
         The caller ended the batch.
     token : str
         Random text of the write, by which an unclear write is recognised.
+    written_ms : float
+        Time of the store when the holder, or who chose it, wrote last; 0 if unknown.
     """
 
     header: BatchHeader
@@ -136,6 +138,7 @@
     ended: bool = False
     closed: bool = False
     token: str = ""
+    written_ms: float = 0.0
 
     def written(self, token: str, **changes: object) -> "Progress":
         """Return the next state."""
--- a/packages/ebonylb/src/ebonylb/batches/repository.py
+++ b/packages/ebonylb/src/ebonylb/batches/repository.py
@@ -9,6 +9,7 @@
 
 from ..edges.row_store import Applied, Condition, Mismatch, Put, RowKey, RowStore
 from ..outcomes import StepError
+from ..storage.store_time import StoreTime
 from . import rows
 from .model import Batch, BatchItem, ItemResult, Partial, Progress
 
@@ -54,10 +55,13 @@
         The platform's store.
     row_bytes : int
         Largest value of a row.
+    store_time : StoreTime
+        Clock of the store, for the time of a write.
     """
 
-    def __init__(self, store: RowStore, row_bytes: int) -> None:
+    def __init__(self, store: RowStore, row_bytes: int, store_time: StoreTime) -> None:
         self.store = store
+        self.store_time = store_time
         self.row_bytes = row_bytes
 
     async def create(
--- a/packages/ebonylb/src/ebonylb/service/duties.py
+++ b/packages/ebonylb/src/ebonylb/service/duties.py
@@ -25,6 +25,7 @@
 from ..orders.ledger import TABLE as ORDERS_TABLE
 from ..routes import RouteTable
 from ..storage.follower import TableFollower, TableReader
+from ..storage.store_time import StoreTime
 from .site_settings import Bounds
 
 
@@ -77,6 +78,7 @@
         self.outside = outside
         self.bounds = bounds
         clock, metrics = outside.clock, outside.metrics
+        self.store_time = StoreTime(clock)
         self.routes = RouteTable()
         self.directory = ServerDirectory(clock)
         self.choice = ServerChoice(self.directory, clock, identity.place)
@@ -117,10 +119,10 @@
         """Build the duty of batches."""
         outside = self.outside
         clock, metrics = outside.clock, outside.metrics
-        self.board = BatchBoard(clock)
+        self.board = BatchBoard(clock, self.store_time)
         self.board_follower = self.follower(PROGRESS_TABLE, self.board)
         self.placement = ItemPlacement(self.directory, self.choice, clock)
-        repository = BatchRepository(outside.store, row_bytes)
+        repository = BatchRepository(outside.store, row_bytes, self.store_time)
         self.custody = BatchCustody(
             self.identity.name,
             self.identity.incarnation,
@@ -139,7 +141,9 @@
 
     def follower(self, table: str, reader: TableReader) -> TableFollower:
         """Return a follower of a table."""
-        return TableFollower(self.outside.store, self.outside.clock, table, reader)
+        return TableFollower(
+            self.outside.store, self.outside.clock, table, reader, self.store_time
+        )
 
     def work(self) -> list[Coroutine[Any, Any, None]]:
         """Return what has to run for the life of the process."""
--- a/packages/ebonylb/src/ebonylb/storage/follower.py
+++ b/packages/ebonylb/src/ebonylb/storage/follower.py
@@ -10,6 +10,7 @@
 
 from ..edges import Clock
 from ..edges.row_store import HistoryLostError, RowStore, StoredRow
+from .store_time import StoreTime
 
 logger = logging.getLogger(__name__)
 
@@ -25,6 +26,7 @@
 RETRY_MS = 150
 LONGEST_RETRY_MS = 600
 SPREAD_MS = 150
+LONG_AGO_MS = -1e12
 
 
 class TableReader(ABC):
@@ -55,6 +57,8 @@
         Followed table.
     reader : TableReader
         Receives the rows.
+    store_time : StoreTime
+        Learns the store's time from each answer.
     pace_ms : float
         Shortest time between two feed calls.
     """
@@ -65,17 +69,20 @@
         clock: Clock,
         table: str,
         reader: TableReader,
+        store_time: StoreTime,
         pace_ms: float = PACE_MS,
     ) -> None:
         self.store = store
         self.clock = clock
         self.table = table
         self.reader = reader
+        self.store_time = store_time
         self.pace_ms = pace_ms
         self.loaded = asyncio.Event()
         self.version = 0
         self.healthy_since_ms: float | None = None
-        self.confirmed_ms = -1e12
+        self.failed_once = False
+        self.confirmed_ms = LONG_AGO_MS
 
     def is_current(self, within_ms: float) -> bool:
         """Tell whether the store has confirmed the copy within a time."""
@@ -86,7 +93,8 @@
         now = self.clock.monotonic_ms()
         self.confirmed_ms = now
         if self.healthy_since_ms is None:
-            self.healthy_since_ms = now
+            # Without a failure since the start nothing says that the store was away.
+            self.healthy_since_ms = now if self.failed_once else LONG_AGO_MS
             if self.loaded.is_set():
                 logger.info("store regained", extra={"table": self.table})
                 self.reader.store_returned()
@@ -98,6 +106,7 @@
                 "store lost", extra={"table": self.table, "cause": str(error)}
             )
         self.healthy_since_ms = None
+        self.failed_once = True
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -127,6 +136,7 @@
             return answer.err_value
         self.note_success()
         page = answer.ok_value
+        self.store_time.note(page.store_ms)
         self.version = page.version
         self.reader.replace_rows(page.rows)
         self.loaded.set()
@@ -142,6 +152,7 @@
             return answer.err_value
         self.note_success()
         page = answer.ok_value
+        self.store_time.note(page.store_ms)
         if page.rows:
             self.reader.change_rows(page.rows)
         self.version = max(self.version, page.version)
--- a/packages/ebonylb/tests/test_batches.py
+++ b/packages/ebonylb/tests/test_batches.py
@@ -265,6 +265,71 @@
 
         run_virtual(scenario())
 
+    def test_batches_of_a_lost_site_go_on_before_their_holder_is_back(self):
+        """Pattern: all entry VMs lose power, and the holder is the last one to start.
+
+        A started entry VM waited 1.5 s for signs of life of a holder whose last one
+        was already older than that by the store's clock.
+        """
+
+        async def scenario():
+            world = World()
+            before = [world.start(name) for name in "abc"]
+            batch = world.batch("x", [80] * 8)
+            assert await before[0].batches.submit(batch) is None
+            await world.clock.sleep_ms(1_000)
+            for vm in before:
+                vm.stop()
+            await world.clock.sleep_ms(1_600)
+            started_ms = world.clock.monotonic_ms()
+            vms = [world.start(name, life="2") for name in "bc"]
+            while not any(vm.custody.holders for vm in vms):
+                await world.clock.sleep_ms(10)
+            return world.clock.monotonic_ms() - started_ms
+
+        # The spread of claims, a look each 150 ms, and four calls of the store.
+        assert run_virtual(scenario()) <= 400 + 150 + 4 * 4 + 10
+
+    def test_a_starting_entry_vm_leaves_a_running_batch_alone(self):
+        """Guards against claims by an entry VM that starts beside a live holder."""
+
+        async def scenario():
+            world = World()
+            first = world.start("a")
+            batch = world.batch("x", [200] * 4)
+            assert await first.batches.submit(batch) is None
+            for number in range(12):
+                await world.clock.sleep_ms(370)
+                world.start(f"b{number}")
+            assert set(first.custody.holders) == {"x"}
+            assert not any(
+                vm.custody.holders for vm in world.vms.values() if vm is not first
+            )
+
+        run_virtual(scenario())
+
+    def test_an_entry_vm_that_starts_in_an_outage_waits_for_the_holder(self):
+        """Guards against an outage's length being taken for a holder's silence."""
+
+        async def scenario():
+            world = World()
+            first = world.start("a")
+            batch = world.batch("x", [250] * 4)
+            assert await first.batches.submit(batch) is None
+            await world.clock.sleep_ms(500)
+            first.store.faults.silent = True
+            await world.clock.sleep_ms(3_000)
+            second = world.start("b")
+            second.store.faults.silent = True
+            await world.clock.sleep_ms(1_000)
+            for vm in (first, second):
+                vm.store.faults.silent = False
+            await world.clock.sleep_ms(3_000)
+            assert set(first.custody.holders) == {"x"}
+            assert not second.custody.holders
+
+        run_virtual(scenario())
+
     def test_two_holders_never_change_a_position(self):
         """A holder that was cut off for a while still runs the batch."""
 
--- a/packages/ebonylb/tests/test_follower.py
+++ b/packages/ebonylb/tests/test_follower.py
@@ -6,6 +6,7 @@
 import pytest
 
 from ebonylb.storage.follower import TableFollower, TableReader
+from ebonylb.storage.store_time import StoreTime
 from ebonylb_standins.histories.virtual_time import LoopClock, run_virtual
 from ebonylb_standins.site.row_store import MemoryRowStore, StoreData
 
@@ -36,7 +37,7 @@
         async def scenario():
             data, clock = StoreData(), LoopClock()
             store, reader = MemoryRowStore(data, clock), KeyReader()
-            follower = TableFollower(store, clock, "t", reader)
+            follower = TableFollower(store, clock, "t", reader, StoreTime(clock))
             following = asyncio.create_task(follower.run())
             await clock.sleep_ms(500)
             store.faults.silent = True
@@ -63,7 +64,9 @@
             following = []
             for store in stores:
                 store.changes = counted(store.changes, asked, clock)
-                follower = TableFollower(store, clock, "t", KeyReader())
+                follower = TableFollower(
+                    store, clock, "t", KeyReader(), StoreTime(clock)
+                )
                 following.append(asyncio.create_task(follower.run()))
             await clock.sleep_ms(500)
             for store in stores:
