orders: one plan in 0.3 ms a server keeps within the agreed processor time

Ruled out: a wider bound; it is the agreed one.

Now 0.3 ms a server, 2.0%. Before: test_the_plan_is_worked_out_less_often failed (234 of at most 210 ms); after: it passes, as do the 430 others of the package.

--- a/packages/ebonylb/src/ebonylb/fleet/directory.py
+++ b/packages/ebonylb/src/ebonylb/fleet/directory.py
@@ -13,8 +13,8 @@
 # time of its return; the platform says about two seconds.
 RETURN_MS = 2_000
 MISSING_CHECK_MS = 200
-# Names in one log line. A line for each of 3,000 servers in a first reading took 37 ms of
-# processor time while an entry VM started.
+# Names in one log line. A line for each of 3,000 servers in a first reading took 37 ms
+# of processor time while an entry VM started.
 NAMES_LOGGED = 100
 
 
--- a/packages/ebonylb/src/ebonylb/orders/duty.py
+++ b/packages/ebonylb/src/ebonylb/orders/duty.py
@@ -18,9 +18,9 @@
 
 STEP_MS = 100.0
 # Working the plan out takes about 6 microseconds a server, and 15 ms with 2,400. At one
-# plan each 0.25 ms a server it takes 2% of a core, whatever the number of servers; with
-# 12,000 of them an order starts up to 3 s late, of the 10 s for weights.
-PLAN_MS_PER_SERVER = 0.25
+# plan each 0.3 ms a server it takes 2% of a core, whatever the number of servers; with
+# 12,000 of them an order starts up to 3.6 s late, of the 10 s for weights.
+PLAN_MS_PER_SERVER = 0.3
 # An entry VM that is not the holder of a server's group leaves the order to it for
 # this long.
 DEFER_MS = 1_200.0
