storage: feeds are read less often in sites of many servers

Each entry VM asked for the changes of a constantly changing table 15.6 times a second; with three such tables 99 of them make 4,600 calls a second, of the 2,000 that the store answers.

The pause between two calls grows by 0.3 ms a server: 60 ms up to 200 servers as before, at most 250 ms, and 600 ms for the list of servers. Calls a second of one follower: 15.6 and 15.6 with 300 and 999 servers, now 10.6 and 3.8. The new test holds 2,000 calls for three tables and 99 entry VMs.

--- a/packages/ebonylb/src/ebonylb/service/duties.py
+++ b/packages/ebonylb/src/ebonylb/service/duties.py
@@ -24,6 +24,7 @@
 from ..orders import OrderDuty, OrderLedger
 from ..orders.ledger import TABLE as ORDERS_TABLE
 from ..routes import RouteTable
+from ..storage.feed_pace import LONGEST_PACE_MS, feed_pace_ms
 from ..storage.follower import TableFollower, TableReader
 from ..storage.store_time import StoreTime
 from .site_settings import Bounds
@@ -139,10 +140,18 @@
             self.custody, self.routes, self.board, repository, clock
         )
 
-    def follower(self, table: str, reader: TableReader) -> TableFollower:
-        """Return a follower of a table."""
+    def follower(
+        self, table: str, reader: TableReader, longest_pace_ms: float = LONGEST_PACE_MS
+    ) -> TableFollower:
+        """Return a follower of a table, slower in a site of many servers."""
+        servers = self.directory.servers
         return TableFollower(
-            self.outside.store, self.outside.clock, table, reader, self.store_time
+            self.outside.store,
+            self.outside.clock,
+            table,
+            reader,
+            self.store_time,
+            lambda: feed_pace_ms(len(servers), longest_pace_ms),
         )
 
     def work(self) -> list[Coroutine[Any, Any, None]]:
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -28,6 +28,7 @@
 from ..platform.servers import HttpServerPort
 from ..platform.sockets import silence_aware_socket
 from ..platform.store import PlatformRowStore
+from ..storage.feed_pace import LONGEST_LISTING_PACE_MS, PACE_MS
 from ..tasks import cancel_and_wait
 from ..telemetry.bounded_logs import BoundedLineHandler
 from .duties import Identity, Outside, SiteDuties
@@ -157,8 +158,8 @@
         )
         servers = ServerReader(decode_server, duties.directory)
         followers = [
-            duties.follower(names.OPERATOR_TABLE, operator),
-            duties.follower(names.SERVERS_TABLE, servers),
+            duties.follower(names.OPERATOR_TABLE, operator, PACE_MS),
+            duties.follower(names.SERVERS_TABLE, servers, LONGEST_LISTING_PACE_MS),
         ]
         self.readiness.followers = [*followers, duties.board_follower]
         return [follower.run() for follower in followers]
--- a/packages/ebonylb/src/ebonylb/storage/follower.py
+++ b/packages/ebonylb/src/ebonylb/storage/follower.py
@@ -4,12 +4,13 @@
 import logging
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from result import Err
 
 from ..edges import Clock
 from ..edges.row_store import HistoryLostError, RowStore, StoredRow
+from .feed_pace import PACE_MS
 from .store_time import StoreTime
 
 logger = logging.getLogger(__name__)
@@ -17,9 +18,6 @@
 # A feed call returns by itself after this, so that a connection that went silent is
 # noticed within about two seconds.
 WAIT_MS = 1_000
-# Pause between two feed calls that both brought rows: bounds the calls of a table that
-# changes all the time.
-PACE_MS = 60
 # Time between the beginnings of two calls that fail. A call without an answer has taken
 # longer already. Entry VMs lose the store together: a random pause of up to the last
 # value drives their calls apart before it returns.
@@ -59,8 +57,9 @@
         Receives the rows.
     store_time : StoreTime
         Learns the store's time from each answer.
-    pace_ms : float
-        Shortest time between two feed calls.
+    pace_ms : callable
+        Returns the pause between two feed calls that both brought rows, in ms: it
+        bounds the calls for a table that changes all the time.
     """
 
     def __init__(
@@ -70,7 +69,7 @@
         table: str,
         reader: TableReader,
         store_time: StoreTime,
-        pace_ms: float = PACE_MS,
+        pace_ms: Callable[[], float] = lambda: PACE_MS,
     ) -> None:
         self.store = store
         self.clock = clock
@@ -157,5 +156,5 @@
             self.reader.change_rows(page.rows)
         self.version = max(self.version, page.version)
         if page.rows:
-            await self.clock.sleep_ms(self.pace_ms)
+            await self.clock.sleep_ms(self.pace_ms())
         return None
--- a/packages/ebonylb/tests/test_follower.py
+++ b/packages/ebonylb/tests/test_follower.py
@@ -3,12 +3,17 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 
+from ebonylb.orders.ledger import TABLE as ORDERS_TABLE
+from ebonylb.orders.ledger import OrderRight
+from ebonylb.storage.feed_pace import LONGEST_LISTING_PACE_MS, feed_pace_ms
 from ebonylb.storage.follower import TableFollower, TableReader
 from ebonylb.storage.store_time import StoreTime
 from ebonylb_standins.histories.virtual_time import LoopClock, run_virtual
 from ebonylb_standins.site.row_store import MemoryRowStore, StoreData
+from ebonylb_standins.site.world import World
 
 
 class KeyReader(TableReader):
@@ -88,3 +93,40 @@
         return await changes(*arguments)
 
     return call
+
+
+class TestPace:
+    """Pattern: tables that change all the time, read by every entry VM."""
+
+    # The users' store answers 2,000 reads a second; three tables change all the time.
+    READS_PER_S, TABLES = 2_000, 3
+
+    @pytest.mark.parametrize("vms, servers", [(30, 300), (99, 999)])
+    def test_reads_of_all_entry_vms_stay_within_the_store(self, vms, servers):
+        """Guards against feeds that lag because the store has too many calls.
+
+        In the sweep with 99 entry VMs and 999 servers one entry VM learned of a leaving
+        server 3.9 s late.
+        """
+        asked = []
+
+        async def scenario():
+            world = World(engines=3, plain=servers - 3)
+            vm = world.start("a")
+            vm.store.changes = counted(vm.store.changes, asked, world.clock)
+            await world.clock.sleep_ms(500)
+            row = msgspec.json.encode(OrderRight("b", "b-1", 1))
+            asked.clear()
+            for _ in range(500):
+                world.data.put(ORDERS_TABLE, "group-00", row)
+                await world.clock.sleep_ms(10)
+
+        run_virtual(scenario())
+        # Two other tables are asked once a second each.
+        a_second = len(asked) / 5 - 2
+        assert 1 < a_second <= self.READS_PER_S / self.TABLES / vms
+
+    @pytest.mark.parametrize("servers", [0, 30, 340, 12_000])
+    def test_leaving_servers_are_seen_well_within_their_time(self, servers):
+        """New work must be off a leaving server within 2.5 s."""
+        assert feed_pace_ms(servers, LONGEST_LISTING_PACE_MS) <= 2_500 / 3
