--- a/packages/ebonylb/src/ebonylb/orders/claim_delay.py
+++ b/packages/ebonylb/src/ebonylb/orders/claim_delay.py
@@ -1,9 +1,9 @@
 """When an entry VM claims the right to order servers that have no holder.
 
 Entry VMs do not know how many they are. If each waited for a time drawn evenly from one
-span, the claims within the delay of the store would grow with their number. Here half of
-them wait for all slots, half of the others one slot less, and so on: the first slot in
-which anyone claims has one or two of them, whatever their number.
+span, the claims within the delay of the store would grow with their number. Here half
+of them wait for all slots, half of the others one slot less, and so on: the first slot
+in which anyone claims has one or two of them, whatever their number.
 """
 
 from xxhash import xxh64_intdigest
