batches: results with scores; forwarding: bursts are spread over the servers

Change: batches/scoring.py sends the request like a caller's once the text is complete, through its route, with hedged copies and strikes, and again until its route's attempts are used up by internal errors or the item's time is over. The text counts as complete in the checkpoint, so that a successor asks for the score and generates nothing. A score is reused in the next step only for the same scoring request. batches/scoring_queue.py lets the batch due first go first and leaves two slots of each server to callers. Found by a test of that load: requests that arrive in one iteration of the event loop all chose the same server (18 of 18), since an attempt counted as load only when its task began. An attempt now counts from the choice. Ruled out: a result with an empty score (breaks MIXED); scoring inside the engine's slot (the slot is free while the score is waited for).

--- a/packages/ebonylb/src/ebonylb/batches/__init__.py
+++ b/packages/ebonylb/src/ebonylb/batches/__init__.py
@@ -2,11 +2,13 @@
 
 from .holder import BatchHolder
 from .item_run import ItemRunner
-from .model import Batch, BatchHeader, BatchItem, ItemResult
+from .model import Batch, BatchHeader, BatchItem, ItemResult, ScoringRequest
 from .ownership import BatchOwnership
 from .placement import ItemPlacement
 from .progress_view import BatchProgressView
 from .repository import BatchRepository
+from .scoring import ItemScorer
+from .scoring_queue import ScoringQueue
 from .service import BatchService, ResultsPage
 
 __all__ = [
@@ -21,5 +23,8 @@
     "ItemPlacement",
     "ItemResult",
     "ItemRunner",
+    "ItemScorer",
     "ResultsPage",
+    "ScoringQueue",
+    "ScoringRequest",
 ]
--- a/packages/ebonylb/src/ebonylb/batches/holder.py
+++ b/packages/ebonylb/src/ebonylb/batches/holder.py
@@ -125,18 +125,29 @@
         for result in results:
             state = self.item_states.get(result.item_id)
             if state and result.succeeded and self.can_use_versions(result.versions):
-                self.item_states.pop(result.item_id)
-                self.pending_results.append(result)
+                self.reuse_result(state, result)
                 reused_items += 1
         for item_id, partial in partials.items():
             state = self.item_states.get(item_id)
             if state and partial.events and self.can_use_versions(partial.versions):
                 state.restore(partial)
                 # The new batch has no checkpoint of its own yet.
-                state.stored_events = 0
+                state.mark_stored(0, False)
                 reused_items += 1
         return reused_items
 
+    def reuse_result(self, state: ItemState, result: ItemResult) -> None:
+        """Reuse a result of the previous step, or only its text if its score differs.
+
+        A score belongs to one scoring request.
+        """
+        scoring = state.item.scoring
+        if scoring is not None and scoring.request_id != result.scoring_id:
+            state.restore_text(result)
+            return
+        self.item_states.pop(result.item_id)
+        self.pending_results.append(result)
+
     def can_use_versions(self, versions: tuple[int, ...]) -> bool:
         """Return whether the batch may contain text of these weight versions."""
         distinct = set(versions)
@@ -282,15 +293,16 @@
             key=lambda pair: pair[1].stored_events - len(pair[1].events),
         )
         for item_id, state in most_events_first:
+            if not state.has_unstored_text:
+                continue
             count = len(state.events)
-            if count == state.stored_events:
-                break
             put = rows.encode_partial(
                 self.batch_id,
                 item_id,
                 state.stored_events,
                 state.events[state.stored_events : count],
                 state.versions[state.stored_events : count],
+                state.complete,
             )
             size += len(put.value)
             if len(put.value) > self.row_bytes or size > MAX_COMMIT_BYTES:
@@ -318,10 +330,11 @@
                 break
             committed_results.append(result)
             puts.extend(writes)
-        event_counts = {}
+        written_states = {}
         if with_checkpoints:
-            event_counts = {
-                i: len(state.events) for i, state in self.item_states.items()
+            written_states = {
+                item_id: (len(state.events), state.complete)
+                for item_id, state in self.item_states.items()
             }
             free_entries = 90 - len(puts)
             puts.extend(self.checkpoints()[: max(0, free_entries)])
@@ -339,7 +352,7 @@
         )
         if isinstance(sent, Ok) and sent.ok_value is not None:
             self.apply_commit(sent.ok_value)
-            self.mark_events_stored(event_counts, puts)
+            self.mark_events_stored(written_states, puts)
             return True
         if isinstance(sent, Err) and not sent.err_value.may_have_run:
             self.attempted_commits.pop(after.token)
@@ -348,17 +361,23 @@
             sent.err_value if isinstance(sent, Err) else None
         )
 
-    def mark_events_stored(self, event_counts: dict[str, int], puts: list[Put]) -> None:
-        """Record which events the last commit has stored."""
+    def mark_events_stored(
+        self, written_states: dict[str, tuple[int, bool]], puts: list[Put]
+    ) -> None:
+        """Record which events the last commit has stored.
+
+        `written_states` has for each item the number of events, and whether they were
+        all, when the commit was made.
+        """
         written = {
             put.row_key.key.partition("/")[2].rpartition(".")[0]
             for put in puts
             if put.row_key.table == rows.PARTIALS_TABLE
         }
-        for item_id, count in event_counts.items():
+        for item_id, (count, complete) in written_states.items():
             state = self.item_states.get(item_id)
             if state is not None and item_id in written:
-                state.stored_events = min(count, len(state.events))
+                state.mark_stored(count, complete)
 
     async def resolve_unclear_commit(self, cause: StepError | None) -> bool:
         """Read the progress row and return whether an unclear commit has taken effect.
--- a/packages/ebonylb/src/ebonylb/batches/item_run.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_run.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 
+import msgspec
 from result import Err
 
 from ..fleet import ListedServer, ServerDirectory
@@ -13,6 +14,7 @@
 from .item_state import ItemState
 from .model import BatchHeader, ItemResult
 from .placement import ItemPlacement, ItemRequirements
+from .scoring import ItemScorer
 
 logger = logging.getLogger(__name__)
 
@@ -54,6 +56,8 @@
         Queue of items that wait for a server.
     server_client : ServerClient
         Connections to servers.
+    scorer : ItemScorer
+        Gets the scores of finished texts.
     """
 
     def __init__(
@@ -63,12 +67,14 @@
         server_client: ServerClient,
         clock: Clock,
         metrics: Metrics,
+        scorer: ItemScorer,
     ) -> None:
         self.placement = placement
         self.directory = directory
         self.server_client = server_client
         self.clock = clock
         self.metrics = metrics
+        self.scorer = scorer
 
     def requirements_of(
         self, state: ItemState, header: BatchHeader, route: Route, due_ms: float
@@ -102,7 +108,36 @@
         due_ms: float,
         abandon_at_ms: float,
     ) -> ItemResult:
-        """Run an item on as many servers as needed and return its result.
+        """Return the result of an item, with a score if the item asks for one.
+
+        The slot of the server that generated the text is free while the score is
+        waited for.
+        """
+        if state.complete:
+            result = state.result()
+        else:
+            result = await self.generate(state, header, route, due_ms, abandon_at_ms)
+        if state.item.scoring is None or not result.succeeded:
+            return result
+        state.complete = True
+        score = await self.scorer.score(
+            state.item, header, route, due_ms, abandon_at_ms
+        )
+        if score is None:
+            return self.abandon(state, "its score cannot be had")
+        return msgspec.structs.replace(
+            result, score=score, scoring_id=state.item.scoring.request_id
+        )
+
+    async def generate(
+        self,
+        state: ItemState,
+        header: BatchHeader,
+        route: Route,
+        due_ms: float,
+        abandon_at_ms: float,
+    ) -> ItemResult:
+        """Run an item on as many servers as needed and return its text.
 
         The item is abandoned after `abandon_at_ms`, but not before its first attempt.
         """
--- a/packages/ebonylb/src/ebonylb/batches/item_state.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_state.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+import msgspec
+
 from .model import BatchItem, ItemResult, Partial, distinct_versions
 
 
@@ -13,8 +15,14 @@
     ----------
     events, versions : list
         Data and weight version of each event.
+    complete : bool
+        Whether all events were received, so that only the score is missing.
+    finished_text : ItemResult or None
+        Text of an earlier step in place of the events.
     stored_events : int
         Number of events stored by a checkpoint.
+    stored_complete : bool
+        Whether a checkpoint has stored that the text is complete.
     failed_attempts : int
         Attempts to which a server responded with an internal error.
     moves : int
@@ -30,7 +38,10 @@
     item: BatchItem
     events: list[str] = field(default_factory=list)
     versions: list[int] = field(default_factory=list)
+    complete: bool = False
+    finished_text: ItemResult | None = None
     stored_events: int = 0
+    stored_complete: bool = False
     failed_attempts: int = 0
     moves: int = 0
     attempts: int = 0
@@ -41,7 +52,13 @@
         """Replace the events by those of a checkpoint."""
         self.events = list(partial.events)
         self.versions = list(partial.versions)
-        self.stored_events = len(self.events)
+        self.complete = partial.complete
+        self.mark_stored(len(self.events), self.complete)
+
+    def restore_text(self, result: ItemResult) -> None:
+        """Use the text of an earlier result, which needs a score of its own."""
+        self.finished_text = msgspec.structs.replace(result, score="", scoring_id="")
+        self.complete = True
 
     def restart(self) -> None:
         """Discard all received events."""
@@ -49,8 +66,24 @@
         self.versions.clear()
         self.stored_events = 0
 
+    def mark_stored(self, events: int, complete: bool) -> None:
+        """Record what checkpoints have stored."""
+        self.stored_events = min(events, len(self.events))
+        self.stored_complete = complete
+
+    @property
+    def has_unstored_text(self) -> bool:
+        """Whether a checkpoint would store anything new."""
+        if self.finished_text is not None:
+            return False
+        return len(self.events) > self.stored_events or (
+            self.complete and not self.stored_complete
+        )
+
     def result(self) -> ItemResult:
-        """Return the result of a completed item."""
+        """Return the result of an item whose text is complete, without a score."""
+        if self.finished_text is not None:
+            return self.finished_text
         return ItemResult(
             self.item.item_id,
             True,
--- a/packages/ebonylb/src/ebonylb/batches/model.py
+++ b/packages/ebonylb/src/ebonylb/batches/model.py
@@ -8,6 +8,25 @@
 from ..interfaces.server_client import Headers
 
 
+class ScoringRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Request whose response scores the finished text of an item.
+
+    Attributes
+    ----------
+    request_id : str
+        Id of the request, each time it is sent.
+    host, target : str
+        Host, and path with query, that select its route.
+    body : bytes
+        Body of the request.
+    """
+
+    request_id: str
+    host: str
+    target: str
+    body: bytes
+
+
 class BatchItem(msgspec.Struct, frozen=True, array_like=True):
     """One request of a batch.
 
@@ -29,6 +48,8 @@
         Prompt tokens plus the maximum of output tokens.
     length_hint : int
         The caller's estimate of output tokens; 0 if there is none.
+    scoring : ScoringRequest or None
+        Request that scores the text; the item is complete only with its score.
     """
 
     item_id: str
@@ -39,6 +60,7 @@
     group: str = ""
     tokens: int = 0
     length_hint: int = 0
+    scoring: ScoringRequest | None = None
 
 
 class BatchHeader(msgspec.Struct, frozen=True):
@@ -102,12 +124,18 @@
         Data of all events in order, separated by line feeds.
     versions : tuple of int
         Weight versions that generated an event, in order of their first event.
+    score : str
+        Seal of the response to the scoring request; empty for an item without one.
+    scoring_id : str
+        Id of the scoring request that was answered.
     """
 
     item_id: str
     succeeded: bool
     text: str = ""
     versions: tuple[int, ...] = ()
+    score: str = ""
+    scoring_id: str = ""
 
 
 class Progress(msgspec.Struct, frozen=True):
@@ -157,15 +185,23 @@
         Data of the events, starting with the first one.
     versions : tuple of int
         Weight version of each event.
+    complete : bool
+        Whether these are all events, so that only the score is missing.
     """
 
     events: tuple[str, ...] = ()
     versions: tuple[int, ...] = ()
+    complete: bool = False
 
-    def extended(self, events: tuple[str, ...], versions: tuple[int, ...]) -> "Partial":
+    def extended(
+        self, events: tuple[str, ...], versions: tuple[int, ...], complete: bool = False
+    ) -> "Partial":
         """Return a copy with further events appended."""
         return replace(
-            self, events=self.events + events, versions=self.versions + versions
+            self,
+            events=self.events + events,
+            versions=self.versions + versions,
+            complete=complete,
         )
 
 
--- a/packages/ebonylb/src/ebonylb/batches/rows.py
+++ b/packages/ebonylb/src/ebonylb/batches/rows.py
@@ -27,7 +27,18 @@
 items_decoder = msgspec.msgpack.Decoder(list[BatchItem])
 hashes_decoder = msgspec.msgpack.Decoder(list[int])
 result_decoder = msgspec.msgpack.Decoder(ItemResult)
-partial_decoder = msgspec.msgpack.Decoder(tuple[int, list[str], list[int]])
+
+
+class PartialRow(msgspec.Struct, frozen=True, array_like=True):
+    """Stored events of an unfinished item; `first_event` is counted from 0."""
+
+    first_event: int
+    events: list[str]
+    versions: list[int]
+    complete: bool = False
+
+
+partial_decoder = msgspec.msgpack.Decoder(PartialRow)
 
 
 def partition_of(batch_id: str) -> str:
@@ -145,14 +156,16 @@
     first_event: int,
     events: Sequence[str],
     versions: Sequence[int],
+    complete: bool = False,
 ) -> Put:
     """Return the write of further events of an unfinished item.
 
-    `first_event` is the number of the first of these events, counted from 0.
+    `first_event` is the number of the first of these events, counted from 0. `complete`
+    marks the end of the text.
     """
     return Put(
         batch_row_key(PARTIALS_TABLE, batch_id, f"{item_id}.{first_event:06d}"),
-        encoder.encode((first_event, list(events), list(versions))),
+        encoder.encode(PartialRow(first_event, list(events), list(versions), complete)),
     )
 
 
@@ -165,8 +178,10 @@
     partials: dict[str, Partial] = {}
     for row in rows:
         item_id = row.row_key.key.partition("/")[2].rpartition(".")[0]
-        first_event, events, versions = partial_decoder.decode(row.value)
+        stored = partial_decoder.decode(row.value)
         partial = partials.get(item_id, Partial())
-        if first_event == len(partial.events):
-            partials[item_id] = partial.extended(tuple(events), tuple(versions))
+        if stored.first_event == len(partial.events):
+            partials[item_id] = partial.extended(
+                tuple(stored.events), tuple(stored.versions), stored.complete
+            )
     return partials
--- a/packages/ebonylb/src/ebonylb/fleet/selector.py
+++ b/packages/ebonylb/src/ebonylb/fleet/selector.py
@@ -96,12 +96,13 @@
         )
 
     def choose_plain(
-        self, service: str, excluded: Iterable[str] = ()
+        self, service: str, excluded: Iterable[str] = (), spare_slots: int = 0
     ) -> ListedServer | None:
         """Return the cheapest server that is not excluded.
 
         Servers in backoff are used only if there is no other server; the one whose
-        backoff ends first is then returned.
+        backoff ends first is then returned. Of the others, those that would keep
+        `spare_slots` free slots are preferred.
         """
         now = self.clock.monotonic_ms()
         excluded = set(excluded)
@@ -113,6 +114,13 @@
             for s in candidates
             if not self.directory.condition(s.name).is_backing_off(now)
         ]
+        if spare_slots:
+            spared = [
+                s
+                for s in available
+                if self.directory.condition(s.name).load(now) + spare_slots < s.slots
+            ]
+            available = spared or available
         if available:
             return min(
                 available, key=lambda s: (self.plain_cost_ms(s), random.random())
--- a/packages/ebonylb/src/ebonylb/forwarding/attempt.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/attempt.py
@@ -75,32 +75,26 @@
     """
     condition = directory.condition(server.name)
     began_ms = clock.monotonic_ms()
-    condition.own_requests += 1
-    try:
-        opened = await server_client.open(
-            server.endpoint, request.for_server(deadline_ms)
+    opened = await server_client.open(server.endpoint, request.for_server(deadline_ms))
+    if isinstance(opened, Err):
+        error = opened.err_value
+        condition.record_failure(clock.monotonic_ms())
+        outcome = (
+            AttemptOutcome.MAY_HAVE_RUN
+            if error.may_have_run
+            else AttemptOutcome.NOT_RUN
+        )
+        return AttemptResult(
+            outcome, server, cause=str(error), connection_lost=error.may_have_run
         )
-        if isinstance(opened, Err):
-            error = opened.err_value
-            condition.record_failure(clock.monotonic_ms())
-            outcome = (
-                AttemptOutcome.MAY_HAVE_RUN
-                if error.may_have_run
-                else AttemptOutcome.NOT_RUN
-            )
-            return AttemptResult(
-                outcome, server, cause=str(error), connection_lost=error.may_have_run
-            )
-        response = opened.ok_value
-        try:
-            return await read_response(server, response, condition, clock, began_ms)
-        except StepError as error:
-            condition.record_failure(clock.monotonic_ms())
-            return AttemptResult(AttemptOutcome.MAY_HAVE_RUN, server, cause=str(error))
-        finally:
-            response.close()
+    response = opened.ok_value
+    try:
+        return await read_response(server, response, condition, clock, began_ms)
+    except StepError as error:
+        condition.record_failure(clock.monotonic_ms())
+        return AttemptResult(AttemptOutcome.MAY_HAVE_RUN, server, cause=str(error))
     finally:
-        condition.own_requests -= 1
+        response.close()
 
 
 async def read_response(
@@ -139,5 +133,5 @@
     return AttemptResult(
         AttemptOutcome.RESPONDED,
         server,
-        CallerResponse(head.status, head.headers, body),
+        CallerResponse(head.status, head.headers, body, seal=head.seal),
     )
--- a/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass, field
 
 from result import Err
 
@@ -19,11 +18,13 @@
     send_to_server,
 )
 from .messages import CallerRequest, CallerResponse, CallerStream, make_refusal
+from .request_state import RequestState
 from .streams import open_with_timeout, relay_stream
 from .strikes import CrashStrikes, request_fingerprint
 
 logger = logging.getLogger(__name__)
 
+INTERNAL_ERROR = 500
 # A hedged copy starts after this share of the target latency, so that it can still
 # respond within the target latency.
 HEDGE_DELAY_SHARE = 0.42
@@ -40,40 +41,6 @@
 NOT_READY_RETRY_AFTER_MS = 500
 
 
-@dataclass(slots=True)
-class RequestState:
-    """State of one request in progress.
-
-    Parameters
-    ----------
-    deadline_at_ms : float
-        Monotonic time at which the final response is due.
-    fingerprint : str
-        Digest that is equal each time the request is sent.
-    tried_servers : set of str
-        Names of the servers that the request was sent to.
-    counted_attempts : int
-        Attempts that ran or may have run, including those in progress.
-    refused_attempts : int
-        Attempts that certainly did not run.
-    causes : list of str
-        Causes of failed attempts.
-    sent_to : list of str
-        Names of the servers in the order of the attempts.
-    """
-
-    request: CallerRequest
-    route: Route
-    service: str
-    deadline_at_ms: float
-    fingerprint: str
-    tried_servers: set[str] = field(default_factory=set)
-    counted_attempts: int = 0
-    refused_attempts: int = 0
-    causes: list[str] = field(default_factory=list)
-    sent_to: list[str] = field(default_factory=list)
-
-
 class Forwarder:
     """Sends requests to servers and returns one final response for each.
 
@@ -133,10 +100,26 @@
         self, request: CallerRequest, route: Route
     ) -> CallerResponse | CallerStream:
         """Run a request and return its final response, which may be a refusal."""
+        state = self.begin(request, route)
+        try:
+            response = await self.run(state)
+        except asyncio.CancelledError:
+            self.log_abandoned(state)
+            raise
+        self.log_end(state, response)
+        return response
+
+    def begin(
+        self, request: CallerRequest, route: Route, spare_slots: int = 0
+    ) -> RequestState:
+        """Return the state of a new request.
+
+        Servers with more free slots than `spare_slots` are preferred for it.
+        """
         limit_ms = route.timeout_ms
         if request.deadline_ms is not None:
             limit_ms = min(limit_ms, request.deadline_ms)
-        state = RequestState(
+        return RequestState(
             request,
             route,
             choose_target(route, request.request_id).service,
@@ -144,19 +127,16 @@
             request_fingerprint(
                 request.method, request.host, request.target, request.body
             ),
+            spare_slots=spare_slots,
         )
+
+    async def run(self, state: RequestState) -> CallerResponse | CallerStream:
+        """Run a request unless it is known to crash servers."""
         if self.strikes.is_blocked(state.fingerprint):
-            response = make_refusal(
+            return make_refusal(
                 Outcome.GIVEN_UP, "crashes_servers", "servers crashed while running it"
             )
-        else:
-            try:
-                response = await self.dispatch(state)
-            except asyncio.CancelledError:
-                self.log_abandoned(state)
-                raise
-        self.log_end(state, response)
-        return response
+        return await self.dispatch(state)
 
     async def dispatch(self, state: RequestState) -> CallerResponse | CallerStream:
         """Run a request according to the kind of its route, within its deadline."""
@@ -182,8 +162,29 @@
 
     def pick_server(self, state: RequestState) -> ListedServer | None:
         """Return the cheapest server, untried ones first; None if there is none."""
-        server = self.selector.choose_plain(state.service, state.tried_servers)
-        return server or self.selector.choose_plain(state.service)
+        server = self.selector.choose_plain(
+            state.service, state.tried_servers, state.spare_slots
+        )
+        return server or self.selector.choose_plain(
+            state.service, spare_slots=state.spare_slots
+        )
+
+    def start_sending(
+        self, state: RequestState, server: ListedServer
+    ) -> asyncio.Task[AttemptResult]:
+        """Start an attempt, which counts as load of its server at once.
+
+        A burst of requests that arrive together would otherwise choose one server.
+        """
+        condition = self.directory.condition(server.name)
+        condition.own_requests += 1
+
+        def end_load(task: asyncio.Task[AttemptResult]) -> None:
+            condition.own_requests -= 1
+
+        task = asyncio.create_task(self.send_attempt(state, server))
+        task.add_done_callback(end_load)
+        return task
 
     async def send_attempt(
         self, state: RequestState, server: ListedServer
@@ -261,6 +262,8 @@
         if result.outcome is AttemptOutcome.NOT_RUN:
             state.counted_attempts -= 1
             state.refused_attempts += 1
+        elif result.response is not None and result.response.status == INTERNAL_ERROR:
+            state.internal_errors += 1
         return result.response
 
     async def start_attempt(
@@ -288,7 +291,7 @@
         ):
             await self.clock.sleep_ms(ALL_FULL_DELAY_MS)
         state.counted_attempts += 1
-        running.add(asyncio.create_task(self.send_attempt(state, server)))
+        running.add(self.start_sending(state, server))
         return None
 
     def refuse_overloaded(self, state: RequestState) -> CallerResponse:
@@ -317,7 +320,7 @@
             if server is None:
                 return self.refuse_no_server(state)
             state.counted_attempts += 1
-            result = await self.send_attempt(state, server)
+            result = await self.start_sending(state, server)
             if result.outcome is AttemptOutcome.RESPONDED:
                 return result.response
             if result.outcome is AttemptOutcome.MAY_HAVE_RUN:
--- a/packages/ebonylb/src/ebonylb/forwarding/messages.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/messages.py
@@ -57,12 +57,15 @@
     ----------
     refusal : Refusal or None
         Set when the response is a refusal by this entry VM.
+    seal : str or None
+        The server's seal on its own response.
     """
 
     status: int
     headers: Headers = ()
     body: bytes = b""
     refusal: Refusal | None = None
+    seal: str | None = None
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/forwarding/request_state.py
@@ -0,0 +1,46 @@
+"""State of one request in progress."""
+
+from dataclasses import dataclass, field
+
+from ..routes import Route
+from .messages import CallerRequest
+
+
+@dataclass(slots=True)
+class RequestState:
+    """State of one request in progress.
+
+    Parameters
+    ----------
+    deadline_at_ms : float
+        Monotonic time at which the final response is due.
+    fingerprint : str
+        Digest that is equal each time the request is sent.
+    tried_servers : set of str
+        Names of the servers that the request was sent to.
+    counted_attempts : int
+        Attempts that ran or may have run, including those in progress.
+    refused_attempts : int
+        Attempts that certainly did not run.
+    causes : list of str
+        Causes of failed attempts.
+    sent_to : list of str
+        Names of the servers in the order of the attempts.
+    internal_errors : int
+        Attempts that a server answered with an internal error.
+    spare_slots : int
+        Free slots that each server should keep for other requests.
+    """
+
+    request: CallerRequest
+    route: Route
+    service: str
+    deadline_at_ms: float
+    fingerprint: str
+    tried_servers: set[str] = field(default_factory=set)
+    counted_attempts: int = 0
+    refused_attempts: int = 0
+    causes: list[str] = field(default_factory=list)
+    sent_to: list[str] = field(default_factory=list)
+    internal_errors: int = 0
+    spare_slots: int = 0
--- a/packages/ebonylb/src/ebonylb/interfaces/server_client.py
+++ b/packages/ebonylb/src/ebonylb/interfaces/server_client.py
@@ -107,8 +107,8 @@
         Whether the server states that it did not run the request.
     wrong_server : bool
         Whether another server has the address.
-    sealed : bool
-        Whether the response has the server's seal, without which callers reject it.
+    seal : str or None
+        The server's seal on the response, without which callers reject it.
     load : ServerLoad or None
         Load of the server at the time of the response.
     weight_version : int or None
@@ -119,10 +119,15 @@
     headers: Headers
     not_run: bool = False
     wrong_server: bool = False
-    sealed: bool = False
+    seal: str | None = None
     load: ServerLoad | None = None
     weight_version: int | None = None
 
+    @property
+    def sealed(self) -> bool:
+        """Whether the response has the server's seal."""
+        return self.seal is not None
+
 
 class ServerResponse(ABC):
     """Response that is still being received; must be closed."""
--- a/packages/ebonylb/src/ebonylb/platform/batch_wire.py
+++ b/packages/ebonylb/src/ebonylb/platform/batch_wire.py
@@ -6,14 +6,29 @@
 import msgspec
 from multidict import CIMultiDict
 
-from ..batches import Batch, BatchHeader, BatchItem, ResultsPage
+from ..batches import Batch, BatchHeader, BatchItem, ResultsPage, ScoringRequest
 from . import wire_names
 
 
+class WireScorer(msgspec.Struct):
+    """Request that scores an item's text; `Path` may have a query."""
+
+    Id: str
+    Host: str
+    Path: str
+    Body: str = ""
+
+    def decode(self) -> ScoringRequest:
+        """Return the request as the internal type."""
+        body = base64.b64decode(self.Body, validate=True)
+        return ScoringRequest(self.Id, self.Host, self.Path, body)
+
+
 class WireItem(msgspec.Struct):
     """Item of a submitted batch.
 
     `Tokens` is the sum of the prompt tokens and the maximum of output tokens.
+    `ScorerUrl` is a whole request and not a URL.
     """
 
     Id: str
@@ -22,6 +37,7 @@
     Body: str = ""
     Tokens: int = 0
     Group: str = ""
+    ScorerUrl: WireScorer | None = None
 
 
 class WireBatch(msgspec.Struct):
@@ -53,6 +69,7 @@
         group=wire.Group,
         tokens=wire.Tokens,
         length_hint=parse_length_hint(headers),
+        scoring=wire.ScorerUrl and wire.ScorerUrl.decode(),
     )
 
 
@@ -89,6 +106,8 @@
         }
         if result.succeeded:
             wire["Versions"] = list(result.versions)
+        if result.score:
+            wire["Score"] = result.score
         results.append(wire)
     return msgspec.json.encode(
         {"Total": page.total, "Next": page.next_position, "Results": results}
--- a/packages/ebonylb/src/ebonylb/platform/servers.py
+++ b/packages/ebonylb/src/ebonylb/platform/servers.py
@@ -75,7 +75,7 @@
         ),
         not_run=wire_names.NOT_RUN in headers or response.status == WRONG_SERVER_STATUS,
         wrong_server=response.status == WRONG_SERVER_STATUS,
-        sealed=wire_names.SEAL in headers,
+        seal=headers.get(wire_names.SEAL),
         load=decode_load(headers.get(wire_names.SERVER_LOAD)),
         weight_version=int(version) if version.isdigit() else None,
     )
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -11,6 +11,8 @@
     BatchService,
     ItemPlacement,
     ItemRunner,
+    ItemScorer,
+    ScoringQueue,
 )
 from ..batches.rows import PROGRESS_TABLE
 from ..fleet import ServerDirectory, ServerSelector
@@ -145,6 +147,9 @@
                 dependencies.server_client,
                 clock,
                 metrics,
+                ItemScorer(
+                    self.forwarder, ScoringQueue(self.directory), clock, metrics
+                ),
             ),
             clock,
             metrics,
--- a/packages/ebonylb/tests/test_forwarding.py
+++ b/packages/ebonylb/tests/test_forwarding.py
@@ -129,6 +129,40 @@
         run_virtual(scenario())
 
 
+class TestBursts:
+    """Many requests arrive in one iteration of the event loop."""
+
+    @pytest.mark.parametrize("path", ["/ask/1", "/book/1"])
+    def test_a_burst_is_spread_over_the_servers(self, path):
+        """Guards against a burst whose requests all choose the same server."""
+
+        async def scenario():
+            world = World(plain_services=3)
+            vm = world.start("a")
+            requests = [make_request(world, f"q{n}", path) for n in range(18)]
+            responses = await asyncio.gather(*(serve(vm, r) for r in requests))
+            assert {response.status for response in responses} == {200}
+            servers = [world.port.servers[f"p{n}"] for n in range(3)]
+            assert max(server.max_running for server in servers) <= 8
+
+        run_virtual(scenario())
+
+    def test_the_load_of_a_cancelled_burst_is_forgotten(self):
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            requests = [make_request(world, f"q{n}") for n in range(9)]
+            tasks = [asyncio.create_task(serve(vm, r)) for r in requests]
+            await asyncio.sleep(0)
+            for task in tasks:
+                task.cancel()
+            await world.clock.sleep_ms(100)
+            for name in ("p0", "p1"):
+                assert vm.directory.condition(name).own_requests == 0
+
+        run_virtual(scenario())
+
+
 class TestNonIdempotent:
     @pytest.mark.parametrize("mode", ["resets", "dark", "fails"])
     def test_request_that_may_have_run_is_not_sent_again(self, mode):
--- a/packages/ebonylb/tests/test_platform_adapter.py
+++ b/packages/ebonylb/tests/test_platform_adapter.py
@@ -11,11 +11,12 @@
 from result import Err
 
 import ebonylb
+from ebonylb.batches import ItemResult, ResultsPage, ScoringRequest
 from ebonylb.fleet import ServerStage
 from ebonylb.interfaces.row_store import RowKey, StoredRow
 from ebonylb.outcomes import StepError
 from ebonylb.platform import row_decoding
-from ebonylb.platform.batch_wire import decode_batch
+from ebonylb.platform.batch_wire import decode_batch, encode_results
 from ebonylb.platform.event_stream import EventDecoder
 from ebonylb.platform.node_settings import read_node_settings
 from ebonylb.platform.servers import decode_load
@@ -210,6 +211,27 @@
         assert ("Host", "host") in batch.items[0].headers
         assert batch.items[0].body == b"\xab\xcd\xef"
 
+    def test_scoring_requests_and_scores_are_translated(self):
+        """Guards against a scoring request with another path or body than sent."""
+        scorer = {"Id": "s1", "Host": "h", "Path": "/s/1?a=b", "Body": "q83v"}
+        item = {"Id": "i1", "Path": "/a", "ScorerUrl": scorer}
+        body = json.dumps({"Items": [item]}).encode()
+        batch = decode_batch(body, "b", "route", "host", 5)
+        assert batch.items[0].scoring == ScoringRequest(
+            "s1", "h", "/s/1?a=b", b"\xab\xcd\xef"
+        )
+        page = ResultsPage(
+            2,
+            2,
+            [
+                ItemResult("i1", True, "text", (1,), "seal", "s1"),
+                ItemResult("i2", False),
+            ],
+        )
+        results = json.loads(encode_results(page))["Results"]
+        assert results[0]["Score"] == "seal"
+        assert "Score" not in results[1]
+
     @pytest.mark.parametrize("body", [b"", b"{}", b'{"Items":[{"Id":1}]}', b"\xff"])
     def test_malformed_batch_is_none(self, body):
         """Guards against a malformed body that raises or is accepted as a batch."""
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
@@ -215,7 +215,7 @@
         head = ResponseHead(
             status,
             SEAL,
-            sealed=True,
+            seal=f"seal of {request.request_id}",
             load=self.load_of(target),
             weight_version=version,
         )
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from ebonylb.adapters import NullMetrics
-from ebonylb.batches import Batch, BatchHeader, BatchItem
+from ebonylb.batches import Batch, BatchHeader, BatchItem, ScoringRequest
 from ebonylb.fleet import ListedServer, ServerStage
 from ebonylb.fleet.selector import Locality
 from ebonylb.interfaces.server_client import ModelVersion
@@ -64,6 +64,16 @@
                 target_latency_ms=240,
                 attempts=2,
             ),
+            Route(
+                "score",
+                "site",
+                "/score/",
+                RouteKind.IDEMPOTENT,
+                (Target(PLAIN_SERVICE, 1),),
+                timeout_ms=2_000,
+                target_latency_ms=400,
+                attempts=4,
+            ),
             Route(
                 "chat",
                 "site",
@@ -214,12 +224,26 @@
         self.vms[name] = vm
         return vm
 
+    def scoring_request(self, item_id: str) -> ScoringRequest:
+        """Return the scoring request of an item; it works for 80 ms."""
+        request_id = f"score-{item_id}"
+        self.port.planned_responses[request_id] = PlannedResponse(work_ms=80.0)
+        return ScoringRequest(
+            request_id, "site", f"/score/{item_id}", b"score " + item_id.encode()
+        )
+
     def batch(
-        self, batch_id: str, lengths: list[int], group_size: int = 4, **header
+        self,
+        batch_id: str,
+        lengths: list[int],
+        group_size: int = 4,
+        scored: bool = False,
+        **header,
     ) -> Batch:
         """Return a batch with one item per entry of `lengths`, in events.
 
-        `header` overrides fields of the batch header.
+        If `scored`, each item has a scoring request, whose id is that of the item with
+        the prefix ``score-``. `header` overrides fields of the batch header.
         """
         items = []
         for number, events in enumerate(lengths):
@@ -234,6 +258,7 @@
                     model="m",
                     group=f"g{number // group_size}",
                     length_hint=events * 44,
+                    scoring=self.scoring_request(item_id) if scored else None,
                 )
             )
         header_fields = {"model": "m", "min_version": 1, "step": 0} | header
