--- a/packages/ebonyctl/src/ebonyctl/traces.py
+++ b/packages/ebonyctl/src/ebonyctl/traces.py
@@ -87,17 +87,22 @@
     """Return the lines about an id and its batch, and the context lines between them.
 
     The lines about an item's batch are included, because they show the batch's holder.
-    The lines about a batch's items are not.
+    The lines about a batch's items are not. The id of a scoring request stands for its
+    item.
     """
     all_lines = sorted(lines, key=lambda line: line.time)
-    ids = {requested_id}
+    item_ids = {requested_id}
     for line in all_lines:
-        if line.fields.get("item") == requested_id and "batch" in line.fields:
+        if line.fields.get("scoring_request") == requested_id:
+            item_ids.add(line.fields["item"])
+    ids = set(item_ids)
+    for line in all_lines:
+        if line.fields.get("item") in item_ids and "batch" in line.fields:
             ids.add(line.fields["batch"])
     direct_lines = [
         line
         for line in all_lines
-        if line.has_any_id(ids) and line.fields.get("item") in (None, requested_id)
+        if line.has_any_id(ids) and line.fields.get("item") in (None, *item_ids)
     ]
     if not direct_lines:
         return []
--- a/packages/ebonyctl/tests/test_traces.py
+++ b/packages/ebonyctl/tests/test_traces.py
@@ -13,6 +13,12 @@
     ("10:00:03", "b", "batch taken over", {"batch": "b1", "from": "a"}),
     ("10:00:04", "b", "item ended", {"item": "i1", "batch": "b1", "events": 3}),
     ("10:00:05", "b", "item ended", {"item": "i2", "batch": "b1", "events": 9}),
+    (
+        "10:00:05",
+        "b",
+        "item scored",
+        {"item": "i2", "batch": "b1", "scoring_request": "s2"},
+    ),
     ("10:00:06", "a", "request ended", {"request_id": "q1", "status": 503}),
 ]
 
@@ -42,6 +48,13 @@
             "item ended",
         ]
 
+    def test_scoring_request_finds_the_lines_of_its_item(self, log):
+        found = traces.find_related_lines(traces.read_lines([log]), "s2")
+        messages = [line.message for line in found]
+        assert messages[-2:] == ["item ended", "item scored"]
+        assert "batch accepted" in messages
+        assert {line.fields.get("item") for line in found} == {None, "i2"}
+
     def test_command_prints_the_related_lines(self, log, capsys):
         assert cli.main(["trace", "i1", log]) == 0
         shown = capsys.readouterr().out
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_servers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_servers.py
@@ -12,6 +12,21 @@
 WEIGHT_LOAD_S = 0.4
 
 
+SCORING_PREFIX = "/score/"
+# Path segment of scoring requests that fail on each server.
+UNSCORABLE = "unscorable"
+
+
+def scoring_id(item_id: str) -> str:
+    """Return the id of an item's scoring request."""
+    return f"score-{item_id}"
+
+
+def seal_of(request_id: str) -> str:
+    """Return the seal of a response, which is the same on each server."""
+    return f"seal.{request_id}"
+
+
 def event_text(request_id: str, number: int) -> str:
     """Return the data of an event, which does not depend on the server."""
     return f"{request_id}/{number}"
@@ -47,6 +62,8 @@
         Loop time in seconds and request id of each request.
     refused_request_ids : set of str
         Requests that were refused without running.
+    text_ended_s : dict of str to float
+        Loop time at which the last event of an item was made, by the item's id.
     fault : str
         ``""``, ``"reset"`` (runs the request and breaks the connection), ``"shed"``
         (refuses) or ``"cut"`` (ends the response early).
@@ -63,6 +80,7 @@
     arrivals: list[tuple[float, str]] = field(default_factory=list)
     orders: list[ReceivedOrder] = field(default_factory=list)
     refused_request_ids: set[str] = field(default_factory=set)
+    text_ended_s: dict[str, float] = field(default_factory=dict)
     running: int = 0
     accepted_orders: int = 0
     loading: bool = False
@@ -162,7 +180,7 @@
             headers["Ebonylb-Not-Executed"] = "1"
             return web.Response(status=503, headers=headers)
         self.run_counts[request_id] += 1
-        headers["Ebonylb-Response-Seal"] = f"seal.{request_id}"
+        headers["Ebonylb-Response-Seal"] = seal_of(request_id)
         self.running += 1
         try:
             if self.models:
@@ -171,6 +189,8 @@
             if self.fault == "reset" or self.random.random() < self.lost_response_share:
                 request.transport.abort()
                 raise asyncio.CancelledError
+            if request.path.startswith(f"{SCORING_PREFIX}{UNSCORABLE}/"):
+                return web.Response(status=500, headers=headers)
             response_body = f"{request_id}:".encode() + body
             if self.fault == "cut":
                 return await self.send_truncated(request, headers, response_body)
@@ -212,6 +232,9 @@
             if self.versions[model] != version:
                 version = self.versions[model]
                 version_line = f"ebonylb-weight-versions: {version}\n"
+            if number == total:
+                now_s = asyncio.get_running_loop().time()
+                self.text_ended_s.setdefault(request_id, now_s)
             text = event_text(request_id, number)
             block = f"{version_line}id: {number}\ndata: {text}\n\n"
             await response.write(block.encode())
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/broken.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/broken.py
@@ -7,7 +7,7 @@
 import sys
 from collections.abc import Callable
 
-from ebonylb.batches import repository, rows
+from ebonylb.batches import item_run, repository, rows
 from ebonylb.forwarding import attempt, forwarder
 from ebonylb.orders import leases
 from ebonylb.service.site_main import main
@@ -52,8 +52,6 @@
 
 def join_loosely() -> None:
     """Accept events of a resumed stream whatever their position is."""
-    from ebonylb.batches import item_run
-
     original = item_run.ItemRunner.open
 
     async def open_from_start(self, server, state):
@@ -73,6 +71,23 @@
     item_run.ItemRunner.read_events = read_events
 
 
+def score_early() -> None:
+    """Ask for the score of an item before its text is generated."""
+    original = item_run.ItemRunner.run
+
+    async def run(self, state, header, route, due_ms, abandon_at_ms):
+        if state.item.scoring is not None:
+            await self.scorer.score(state.item, header, route, due_ms, abandon_at_ms)
+        return await original(self, state, header, route, due_ms, abandon_at_ms)
+
+    item_run.ItemRunner.run = run
+
+
+def list_without_score() -> None:
+    """Return the text of an item whose score could not be had."""
+    item_run.ItemRunner.abandon = lambda self, state, reason: state.result()
+
+
 VARIANTS: dict[str, Callable[[], None]] = {
     function.__name__: function
     for function in (
@@ -81,6 +96,8 @@
         write_blindly,
         order_without_waiting,
         join_loosely,
+        score_early,
+        list_without_score,
     )
 }
 
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/run.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/run.py
@@ -1,11 +1,13 @@
 """One soak run: a site under load and faults, and the checks of its results."""
 
 import asyncio
+import math
 import random
 import shutil
 from collections.abc import Sequence
 from pathlib import Path
 
+from ..site.http_servers import scoring_id
 from ..site.http_site import PROGRAM, EntryVmProcess, HttpSite
 from .faults import inject_faults
 from .load import Caller, Trainer
@@ -114,6 +116,23 @@
             if any(item.startswith(f"{batch_id}-") for item in runs):
                 self.record_failure("refused batch ran", batch_id)
 
+    def check_scoring(self) -> None:
+        """Check that no scoring request arrived before the last event of its text."""
+        text_ended_s: dict[str, float] = {}
+        for server in self.servers.values():
+            for item_id, at_s in server.text_ended_s.items():
+                request_id = scoring_id(item_id)
+                text_ended_s[request_id] = min(
+                    at_s, text_ended_s.get(request_id, math.inf)
+                )
+        prefix = scoring_id("")
+        for server in self.servers.values():
+            for at_s, request_id in server.arrivals:
+                if request_id.startswith(prefix) and (
+                    at_s < text_ended_s.get(request_id, math.inf)
+                ):
+                    self.record_failure("scored before its text ended", request_id)
+
     def check_orders(self, server) -> None:
         """Check that a server receives orders from one lease holder at a time.
 
@@ -211,6 +230,7 @@
             await site.restart(vm)
         await asyncio.gather(*(trainer.read_unfinished() for trainer in trainers))
         site.check_servers()
+        site.check_scoring()
         for caller in callers:
             site.check_bookings(caller.bookings)
         if not any(caller.served for caller in callers):
--- a/packages/ebonylb_standins/tests/test_site.py
+++ b/packages/ebonylb_standins/tests/test_site.py
@@ -97,6 +97,29 @@
 
         asyncio.run(scenario())
 
+    def test_results_carry_the_scores_of_their_texts(self):
+        async def scenario():
+            async with HttpSite(first_ip=20) as site:
+                first, second, _ = site.vms.values()
+                status = await submit(
+                    site, first, "b1", [3, 10, 5], scored=True, unscorable_items=[1]
+                )
+                assert status == 202
+                results = {
+                    r["Id"]: (r["State"], r.get("Score"))
+                    for r in await read_all(site, second, "b1", 3)
+                }
+                assert results == {
+                    "b1-0": ("succeeded", "seal.score-b1-0"),
+                    "b1-1": ("errored", None),
+                    "b1-2": ("succeeded", "seal.score-b1-2"),
+                }
+                status, page, _ = await site.read_metrics(first)
+                assert b"ebonylb_batch_scoring_scored_total 2" in page
+                assert b"ebonylb_batch_scoring_failed_total 1" in page
+
+        asyncio.run(scenario())
+
     def test_a_new_configuration_applies_to_all_entry_vms(self):
         async def scenario():
             async with HttpSite(first_ip=30) as site:
--- a/packages/ebonylb_standins/tests/test_soak.py
+++ b/packages/ebonylb_standins/tests/test_soak.py
@@ -35,6 +35,8 @@
                 "orders of two holders within a lease",
                 BROKEN_IP + 5,
             ),
+            ("score_early", "scored before its text ended", BROKEN_IP + 10),
+            ("list_without_score", "listed without a score", BROKEN_IP + 15),
         ],
     )
     def test_a_broken_variant_is_reported(self, variant, expected_check, first_ip):
