storage: reads of a table go on after a rejected call; a busy store is called less often

A rejected page (429) failed the whole read, which began again at its first page, so that with most calls rejected hardly any read of seven pages ended. Change: storage/table_read.py keeps the pages it has; 429 is a StoreBusyError, on which a follower lengthens its pause up to fourfold and which is no outage. The adapter offers single pages; the composition of a table moved out of platform/.

--- a/packages/ebonylb/src/ebonylb/interfaces/row_store.py
+++ b/packages/ebonylb/src/ebonylb/interfaces/row_store.py
@@ -120,10 +120,23 @@
     store_ms: float = 0.0
 
 
+# Smallest character in keys.
+MIN_KEY_CHARACTER = " "
+
+
+def next_key(key: str) -> str:
+    """Return the smallest key after a key, with which the next range starts."""
+    return key + MIN_KEY_CHARACTER
+
+
 class HistoryLostError(StepError):
     """The feed no longer has the requested changes; the table must be read again."""
 
 
+class StoreBusyError(StepError):
+    """The store rejected a call because all entry VMs together make too many."""
+
+
 class RowStore(ABC):
     """Client of the platform's row store.
 
@@ -145,8 +158,14 @@
         """Read a snapshot of rows with ``start <= key < end`` of one partition."""
 
     @abstractmethod
-    async def read_table(self, table: str) -> Result[Page, StepError]:
-        """Read all partitions of a table; the version is read before the rows."""
+    async def read_page(
+        self, table: str, part: str = "", start: str = "", end: str = ""
+    ) -> Result[Page, StepError]:
+        """Read the first rows of a range, as many as fit into one response."""
+
+    @abstractmethod
+    async def read_parts(self, table: str) -> Result[list[str], StepError]:
+        """Return the partitions of a table."""
 
     @abstractmethod
     async def changes(
--- a/packages/ebonylb/src/ebonylb/platform/store.py
+++ b/packages/ebonylb/src/ebonylb/platform/store.py
@@ -18,7 +18,9 @@
     Put,
     RowKey,
     RowStore,
+    StoreBusyError,
     StoredRow,
+    next_key,
 )
 from ..outcomes import StepError
 from . import wire_names
@@ -31,10 +33,9 @@
 FEED_TIMEOUT_MARGIN_MS = 800
 MAX_READ_ROWS = 500
 PARTS_PAGE_SIZE = 1_000
-# Smallest character in keys; appended to a key it gives the start of the next range.
-MIN_KEY_CHARACTER = " "
 HISTORY_LOST_STATUS = 410
 MISMATCH_STATUS = 412
+BUSY_STATUS = 429
 
 
 class WireRow(msgspec.Struct):
@@ -169,33 +170,42 @@
             return result
         if result.ok_value.status == HISTORY_LOST_STATUS:
             return Err(HistoryLostError(step, self.name, "history dropped", False))
+        if result.ok_value.status == BUSY_STATUS:
+            return Err(StoreBusyError(step, self.name, "too many calls", False))
         return self.decode(step, result.ok_value, model)
 
+    async def read_page(
+        self, table: str, part: str = "", start: str = "", end: str = ""
+    ) -> Result[Page, StepError]:
+        """Read the first rows of a range, as many as fit into one response."""
+        params = {"Table": table, "part": part, "Limit": str(MAX_READ_ROWS)}
+        if start:
+            params["From"] = start
+        if end:
+            # The wire format names the end of a range "Target", like the target of a
+            # move.
+            params["Target"] = end
+        response = await self.fetch_page(
+            wire_names.ROWS_READ_PATH, params, CALL_TIMEOUT_MS, WirePage
+        )
+        return response if isinstance(response, Err) else Ok(response.ok_value.decode())
+
     async def read(
         self, table: str, part: str = "", start: str = "", end: str = ""
     ) -> Result[Page, StepError]:
         """Read a range page by page; the version is that of the first page."""
         rows: list[StoredRow] = []
-        version, store_ms = 0, 0.0
+        version = 0
         while True:
-            params = {"Table": table, "part": part, "Limit": str(MAX_READ_ROWS)}
-            if start:
-                params["From"] = start
-            if end:
-                # The wire format names the end of a range "Target", like the target of
-                # a move.
-                params["Target"] = end
-            response = await self.fetch_page(
-                wire_names.ROWS_READ_PATH, params, CALL_TIMEOUT_MS, WirePage
-            )
+            response = await self.read_page(table, part, start, end)
             if isinstance(response, Err):
                 return response
-            page = response.ok_value.decode()
-            version, store_ms = version or page.version, page.store_ms
+            page = response.ok_value
+            version = version or page.version
             rows.extend(page.rows)
             if not page.has_more or not page.rows:
-                return Ok(Page(tuple(rows), version, False, store_ms))
-            start = page.rows[-1].row_key.key + MIN_KEY_CHARACTER
+                return Ok(Page(tuple(rows), version, False, page.store_ms))
+            start = next_key(page.rows[-1].row_key.key)
 
     async def read_parts(self, table: str) -> Result[list[str], StepError]:
         """Return the partitions of a table."""
@@ -213,25 +223,6 @@
             if not response.ok_value.HasMore:
                 return Ok(parts)
 
-    async def read_table(self, table: str) -> Result[Page, StepError]:
-        """Read all partitions; the feed repeats changes that are made meanwhile."""
-        first = await self.read(table)
-        if isinstance(first, Err):
-            return first
-        parts = await self.read_parts(table)
-        if isinstance(parts, Err):
-            return parts
-        rows = list(first.ok_value.rows)
-        for part in parts.ok_value:
-            if part == "":
-                continue
-            page = await self.read(table, part)
-            if isinstance(page, Err):
-                return page
-            rows.extend(page.ok_value.rows)
-        first_page = first.ok_value
-        return Ok(Page(tuple(rows), first_page.version, False, first_page.store_ms))
-
     async def changes(
         self, table: str, after: int, wait_ms: int
     ) -> Result[Page, StepError]:
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -131,7 +131,9 @@
         dependencies = self.dependencies
         clock, metrics = dependencies.clock, dependencies.metrics
         self.progress_view = BatchProgressView(clock, self.store_time)
-        self.progress_follower = self.make_follower(PROGRESS_TABLE, self.progress_view)
+        self.progress_follower = self.make_follower(
+            PROGRESS_TABLE, self.progress_view, partitioned=True
+        )
         self.placement = ItemPlacement(self.directory, self.selector, clock)
         repository = BatchRepository(dependencies.store, row_bytes, self.store_time)
         self.batch_ownership = BatchOwnership(
@@ -164,6 +166,7 @@
         table: str,
         reader: TableReader,
         max_pause_ms: float = MAX_FEED_PAUSE_MS,
+        partitioned: bool = False,
     ) -> TableFollower:
         """Return a follower of a table, which polls more slowly with more servers."""
         servers = self.directory.servers
@@ -174,6 +177,7 @@
             reader,
             self.store_time,
             lambda: feed_pause_ms(len(servers), max_pause_ms),
+            partitioned,
         )
 
     def background_coroutines(self) -> list[Coroutine[Any, Any, None]]:
--- a/packages/ebonylb/src/ebonylb/storage/follower.py
+++ b/packages/ebonylb/src/ebonylb/storage/follower.py
@@ -9,9 +9,15 @@
 from result import Err
 
 from ..interfaces import Clock
-from ..interfaces.row_store import HistoryLostError, RowStore, StoredRow
+from ..interfaces.row_store import (
+    HistoryLostError,
+    RowStore,
+    StoreBusyError,
+    StoredRow,
+)
 from .feed_pause import MIN_FEED_PAUSE_MS
 from .store_time import StoreTime
+from .table_read import TableRead
 
 logger = logging.getLogger(__name__)
 
@@ -24,6 +30,11 @@
 INITIAL_RETRY_INTERVAL_MS = 150
 MAX_RETRY_INTERVAL_MS = 600
 RETRY_JITTER_MS = 150
+# The pause between two feed calls grows by the first factor with each call that a busy
+# store rejects, up to the maximum, and shrinks by the second one with each response.
+BUSY_PAUSE_GROWTH = 1.5
+BUSY_PAUSE_DECAY = 0.97
+MAX_BUSY_PAUSE_FACTOR = 4.0
 LONG_AGO_MS = -1e12
 
 
@@ -60,6 +71,13 @@
     pause_ms : callable
         Returns the pause between two feed calls that both returned rows. It limits the
         rate of calls for a table that changes continuously.
+    partitioned : bool
+        Whether the table has named partitions.
+
+    Attributes
+    ----------
+    busy_factor : float
+        Factor on the pause, at least 1; above 1 while the store rejects calls.
     """
 
     def __init__(
@@ -70,6 +88,7 @@
         reader: TableReader,
         store_time: StoreTime,
         pause_ms: Callable[[], float] = lambda: MIN_FEED_PAUSE_MS,
+        partitioned: bool = False,
     ) -> None:
         self.store = store
         self.clock = clock
@@ -77,6 +96,9 @@
         self.reader = reader
         self.store_time = store_time
         self.pause_ms = pause_ms
+        self.partitioned = partitioned
+        self.busy_factor = 1.0
+        self.table_read: TableRead | None = None
         self.loaded = asyncio.Event()
         self.version = 0
         self.healthy_since_ms: float | None = None
@@ -91,6 +113,7 @@
         """Record a response; the first one after failures is reported to the reader."""
         now = self.clock.monotonic_ms()
         self.confirmed_ms = now
+        self.busy_factor = max(1.0, self.busy_factor * BUSY_PAUSE_DECAY)
         if self.healthy_since_ms is None:
             # Without a failure since the start, the store is assumed to have been up.
             self.healthy_since_ms = now if self.has_failed else LONG_AGO_MS
@@ -107,6 +130,18 @@
         self.healthy_since_ms = None
         self.has_failed = True
 
+    def record_rejection(self) -> None:
+        """Record that the busy store rejected a call, and call it less often.
+
+        The store is up: it counts as lost only when it confirms nothing for so long
+        that this entry VM is no longer ready.
+        """
+        if self.busy_factor == 1.0:
+            logger.info("store busy", extra={"table": self.table})
+        self.busy_factor = min(
+            MAX_BUSY_PAUSE_FACTOR, self.busy_factor * BUSY_PAUSE_GROWTH
+        )
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
         retry_interval_ms = INITIAL_RETRY_INTERVAL_MS
@@ -123,7 +158,10 @@
             if isinstance(failure, HistoryLostError):
                 logger.info("table read again", extra={"table": self.table})
                 continue
-            self.record_failure(failure)
+            if isinstance(failure, StoreBusyError):
+                self.record_rejection()
+            else:
+                self.record_failure(failure)
             elapsed_ms = self.clock.monotonic_ms() - started_ms
             await self.clock.sleep_ms(
                 max(0.0, retry_interval_ms - elapsed_ms)
@@ -132,10 +170,13 @@
             retry_interval_ms = min(MAX_RETRY_INTERVAL_MS, retry_interval_ms * 2)
 
     async def read_all(self) -> Exception | None:
-        """Read the complete table and return the failure, if any."""
-        response = await self.store.read_table(self.table)
+        """Read the rest of the table and return the failure, if any."""
+        if self.table_read is None:
+            self.table_read = TableRead(self.store, self.table, self.partitioned)
+        response = await self.table_read.run()
         if isinstance(response, Err):
             return response.err_value
+        self.table_read = None
         self.record_success()
         page = response.ok_value
         self.store_time.record(page.store_ms)
@@ -159,5 +200,5 @@
             self.reader.change_rows(page.rows)
         self.version = max(self.version, page.version)
         if page.rows:
-            await self.clock.sleep_ms(self.pause_ms())
+            await self.clock.sleep_ms(self.pause_ms() * self.busy_factor)
         return None
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/row_store.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/row_store.py
@@ -24,6 +24,7 @@
 # store; the feed's timeout is its wait time plus the margin.
 CALL_TIMEOUT_MS = 1_500.0
 FEED_TIMEOUT_MARGIN_MS = 800.0
+PAGE_ROWS = 500  # most rows of one response
 STORE_CLOCK_OFFSET_MS = 5_000_000.0
 
 
@@ -180,12 +181,28 @@
         rows.sort(key=lambda row: row.row_key.key)
         return Ok(Page(tuple(rows), self.data.version, store_ms=self.store_ms()))
 
-    async def read_table(self, table: str) -> Result[Page, StepError]:
-        """Return the rows of all partitions of a table."""
+    async def read_page(
+        self, table: str, part: str = "", start: str = "", end: str = ""
+    ) -> Result[Page, StepError]:
+        """Return the first rows of a key range of one partition."""
+        response = await self.read(table, part, start, end)
+        if isinstance(response, Err):
+            return response
+        page = response.ok_value
+        return Ok(
+            Page(
+                page.rows[:PAGE_ROWS],
+                page.version,
+                len(page.rows) > PAGE_ROWS,
+                page.store_ms,
+            )
+        )
+
+    async def read_parts(self, table: str) -> Result[list[str], StepError]:
+        """Return the partitions of a table."""
         if await self.fails_after_delay(CALL_TIMEOUT_MS):
             return self.call_error(False)
-        rows = [row for at, row in self.data.rows.items() if at.table == table]
-        return Ok(Page(tuple(rows), self.data.version, store_ms=self.store_ms()))
+        return Ok(sorted({at.part for at in self.data.rows if at.table == table}))
 
     async def changes(
         self, table: str, after: int, wait_ms: int
