storage: lasting rejections of a busy store are an outage

While a store rejects all calls of an entry VM for seconds, its rows are old, and each holder looks silent; a claim that gets through then moves a running batch. Change: rejections for more than a second without another response count as a loss of the store, less than the 1.5 s of silence after which a batch is claimed.

--- a/packages/ebonylb/src/ebonylb/storage/follower.py
+++ b/packages/ebonylb/src/ebonylb/storage/follower.py
@@ -30,6 +30,9 @@
 INITIAL_RETRY_INTERVAL_MS = 150
 MAX_RETRY_INTERVAL_MS = 600
 RETRY_JITTER_MS = 150
+# A table whose calls a busy store has rejected for this time counts as lost. Less than
+# the silence after which the holder of a batch is taken for lost.
+MAX_REJECTED_MS = 1_000.0
 # The pause between two feed calls grows by the first factor with each call that a busy
 # store rejects, up to the maximum, and shrinks by the second one with each response.
 BUSY_PAUSE_GROWTH = 1.5
@@ -130,12 +133,14 @@
         self.healthy_since_ms = None
         self.has_failed = True
 
-    def record_rejection(self) -> None:
+    def record_rejection(self, error: StoreBusyError) -> None:
         """Record that the busy store rejected a call, and call it less often.
 
-        The store is up: it counts as lost only when it confirms nothing for so long
-        that this entry VM is no longer ready.
+        A few rejections are no outage. When nothing else was received for
+        `MAX_REJECTED_MS`, the rows here are too old to judge what others do.
         """
+        if not self.is_current(MAX_REJECTED_MS):
+            self.record_failure(error)
         if self.busy_factor == 1.0:
             logger.info("store busy", extra={"table": self.table})
         self.busy_factor = min(
@@ -159,7 +164,7 @@
                 logger.info("table read again", extra={"table": self.table})
                 continue
             if isinstance(failure, StoreBusyError):
-                self.record_rejection()
+                self.record_rejection(failure)
             else:
                 self.record_failure(failure)
             elapsed_ms = self.clock.monotonic_ms() - started_ms
