soak: empty engines and resets of connections on all paths

Cause: the large deployment's new disruptions, replicas that are added empty and connections that are reset, were not among the soak's faults.

--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/faults.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/faults.py
@@ -9,7 +9,8 @@
 from typing import TYPE_CHECKING
 
 from ..processes import ends_within
-from ..site.http_site import configuration
+from ..site.http_servers import HttpServer
+from ..site.http_site import ENGINE, MODELS, ZONES, configuration
 
 if TYPE_CHECKING:
     from .run import SoakSite
@@ -183,6 +184,36 @@
 )
 
 
+async def add_empty_engine(site: "SoakSite", rng: random.Random) -> None:
+    """Add an engine that has the newest weights and nothing in its caches."""
+    engines = [s for s in site.servers.values() if s.service == ENGINE]
+    engine = HttpServer(f"engine-{len(engines)}", ENGINE, MODELS)
+    for model in MODELS:
+        engine.versions[model] = max(s.versions[model] for s in engines)
+    await site.add_server(engine, rng.choice(list(ZONES)))
+
+
+async def reset_all_paths(site: "SoakSite", rng: random.Random) -> None:
+    """Reset a share of the connections on all paths at the same moment."""
+    share = rng.uniform(0.1, 0.5)
+    for proxy in (*site.store_proxies.values(), *site.server_proxies.values()):
+        proxy.reset_connections(share)
+
+
+async def grow_and_reset(site: "SoakSite", rng: random.Random, until_s: float) -> None:
+    """Add engines and reset connections beside the other faults.
+
+    It draws from a generator of its own, so that the sequence of the other faults
+    depends only on the seed.
+    """
+    loop = asyncio.get_running_loop()
+    while loop.time() < until_s:
+        fault = rng.choice((add_empty_engine, reset_all_paths))
+        site.record_event("fault", fault.__name__)
+        await fault(site, rng)
+        await asyncio.sleep(rng.uniform(1.0, 4.0))
+
+
 async def inject_faults(site: "SoakSite", rng: random.Random, until_s: float) -> None:
     """Start random faults at random intervals, without waiting for them to end.
 
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/run.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/run.py
@@ -9,7 +9,7 @@
 
 from ..site.http_servers import scoring_id
 from ..site.http_site import PROGRAM, EntryVmProcess, HttpSite
-from .faults import inject_faults
+from .faults import grow_and_reset, inject_faults
 from .load import Caller, Trainer
 from .proxy import FaultProxy
 
@@ -223,6 +223,7 @@
             caller.bookings = set()
         await asyncio.gather(
             inject_faults(site, rng, until_s),
+            grow_and_reset(site, random.Random(f"growth-{seed}"), until_s),
             publish_versions(site, until_s),
             *(client.run(until_s) for client in (*trainers, *callers)),
         )
