placement: a backlog of seconds stays on the entry VM, in order

Change: an item that has waited long may go to a server that is slow, avoided or full with items of others, but never beyond the slots for items of this entry VM. Ruled out: serving the groups last that a trainer does not wait for; they come again in its next step, so that the work is only put off.

--- a/packages/ebonylb/src/ebonylb/batches/placement.py
+++ b/packages/ebonylb/src/ebonylb/batches/placement.py
@@ -25,8 +25,8 @@
 # this share of its slots.
 GROUP_AFFINITY_BONUS = 0.15
 MAX_REMEMBERED_GROUPS = 4_000
-# An item that has waited this long is sent to a server without a free slot and waits in
-# the server's own queue.
+# An item that has waited this long is sent to a server whose slots others seem to use,
+# and waits in the server's own queue if they do.
 FORCE_AFTER_MS = 2_000
 RETRY_INTERVAL_MS = 50
 
@@ -197,8 +197,10 @@
     ) -> ListedServer | None:
         """Return the cheapest server with a free slot, or None.
 
-        If forced, a server may also be full, slow, in backoff, avoided or loading
-        weights.
+        If forced, a server may also be slow, in backoff, avoided, loading weights, or
+        full with items of others. Items of this entry VM never exceed its slots: they
+        would wait there in order of arrival and not of priority, and hold up the items
+        that are due first.
         """
         now = self.clock.monotonic_ms()
         median_gap_ms = self.selector.median_gap_ms(need.service)
@@ -208,6 +210,8 @@
             condition = self.directory.condition(server.name)
             if not self.fits(server, need, forced):
                 continue
+            if condition.own_requests >= server.slots:
+                continue
             if not forced:
                 if server.name == need.avoid or condition.is_backing_off(now):
                     continue
--- a/packages/ebonylb/tests/test_batches.py
+++ b/packages/ebonylb/tests/test_batches.py
@@ -1,6 +1,7 @@
 """Tests of batches: submission, holders and takeover, placement, and rows."""
 
 import asyncio
+import itertools
 
 import pytest
 from result import Err
@@ -803,6 +804,33 @@
 
         run_virtual(scenario())
 
+    def test_a_backlog_of_many_seconds_stays_in_order(self):
+        """Three of five engines were taken away, and steps wait for seconds.
+
+        Guards against items that were sent to full engines after 2 s, where they waited
+        in order of arrival, were refused and ran several times.
+        """
+
+        async def scenario():
+            world = World(engines=1)
+            vm = world.start("a")
+            for number in range(3):
+                batch = world.batch(f"x{number}", [60] * 40, step=number)
+                assert await vm.batches.submit(batch) is None
+                await world.clock.sleep_ms(500)
+            for number in range(3):
+                await read_all(vm, f"x{number}", 40)
+            engine = world.port.servers["e0"]
+            assert engine.max_running <= 16
+            assert len(engine.received_requests) == 120
+            steps = [request_id[:2] for request_id in engine.started_request_ids]
+            # All 16 slots become free at once, and their next items start together.
+            waves = [steps[first : first + 16] for first in range(0, 120, 16)]
+            for wave, next_wave in itertools.pairwise(waves):
+                assert max(wave) <= min(next_wave)
+
+        run_virtual(scenario())
+
     def test_items_with_the_same_requirements_are_compared_once(self):
         """Guards against comparing each waiting item with all servers per freed slot.
 
