batches: the rule for taking a batch over and the retention are modules of their own

Change: takeover_rule.py decides whether a batch should be taken over, retention.py deletes ended ones; ownership.py keeps holders, claims and releases. Moved code; the one thing renamed is delete_expired's owner. Measured: test_batches, test_scoring, test_site pass.

--- a/packages/ebonylb/src/ebonylb/batches/ownership.py
+++ b/packages/ebonylb/src/ebonylb/batches/ownership.py
@@ -2,13 +2,11 @@
 
 import asyncio
 import logging
-import math
 from collections import Counter
 from collections.abc import Coroutine
 from typing import Any
 
 from result import Err, Ok
-from xxhash import xxh64_intdigest
 
 from ..interfaces import Clock, Metrics
 from ..outcomes import new_token
@@ -21,28 +19,17 @@
 from .output_reuse import StepOutputReuse
 from .progress_view import BatchProgressView, ObservedProgress
 from .repository import BatchRepository, StoredProgress
+from .retention import BatchRetention
+from .takeover_rule import SILENCE_TIMEOUT_MS, TakeoverRule
 
 logger = logging.getLogger(__name__)
 
-# Three heartbeat intervals, so that one slow commit does not move a batch. Not longer,
-# since a step is due after 7.5 s and takes 5 to 7 s.
-SILENCE_TIMEOUT_MS = 1_500.0
-# Entry VMs delay their takeover by different times up to these, so that they do not all
-# claim the same batch.
-TAKEOVER_JITTER_MS = 400.0
-RELEASED_JITTER_MS = 250.0
 WATCH_INTERVAL_MS = 150.0
-# Pause after the store did not confirm a holder's silence. Longer than a holder's pause
-# between two commits, so that it commits first when the store returns.
-UNCONFIRMED_PAUSE_MS = 900.0
 # A holder counts as alive if its last commit is not older: two heartbeat intervals.
 ALIVE_TIMEOUT_MS = 1_000.0
 # Unfinished items that one entry VM should hold for all routes together: 200 streams
 # with an event every 40 ms take about half a core.
 MAX_OPEN_ITEMS = 200
-# Batches are kept this much longer than the retention, since the wall clocks of entry
-# VMs differ.
-DELETE_SLACK_MS = 60_000
 DELETE_INTERVAL_MS = 10_000
 # Attempts to write a claim when the outcome of a write is unclear.
 MAX_CLAIM_ATTEMPTS = 3
@@ -71,11 +58,8 @@
         Running batches by id.
     claiming_ids, releasing_ids : set of str
         Batches that this entry VM is about to run, or has released a moment ago.
-    handovers : dict of str to Handover
-        Batches accepted here and assigned to other entry VMs.
-    unconfirmed_ms : dict of str to float
-        Monotonic time at which the store did not confirm the silence of a batch's
-        holder, by batch id.
+    takeover_rule : TakeoverRule
+        Decides which batches this entry VM takes over.
     """
 
     def __init__(
@@ -100,13 +84,14 @@
         self.runner = runner
         self.clock = clock
         self.metrics = metrics
-        self.retention_ms = retention_ms
         self.output_reuse = StepOutputReuse(progress_view, repository)
         self.holders: dict[str, BatchHolder] = {}
         self.claiming_ids: set[str] = set()
         self.releasing_ids: set[str] = set()
-        self.handovers: dict[str, Handover] = {}
-        self.unconfirmed_ms: dict[str, float] = {}
+        self.takeover_rule = TakeoverRule(name, incarnation, follower)
+        self.retention = BatchRetention(
+            name, progress_view, repository, clock, retention_ms
+        )
         self.tasks: set[asyncio.Task[None]] = set()
         self.leaving = False
         self.last_delete_ms = 0.0
@@ -190,7 +175,7 @@
         )
         if not self.is_held_here(stored.progress):
             now = self.clock.monotonic_ms()
-            self.handovers[batch_id] = Handover(stored.version, now)
+            self.takeover_rule.handovers[batch_id] = Handover(stored.version, now)
             return
         holder = self.create_holder(batch, stored)
         if holder is not None:
@@ -260,7 +245,7 @@
     async def watch(self) -> None:
         """Take over batches and delete expired ones at an interval until cancelled.
 
-        `should_take_over` decides which batches are taken over. A batch that an earlier
+        The takeover rule decides which batches are taken over. A batch that an earlier
         incarnation of this entry VM held is released if there is no capacity for it.
         """
         while True:
@@ -279,48 +264,19 @@
                     self.start_takeover(observed.stored, confirm_first=True)
             if now - self.last_delete_ms > DELETE_INTERVAL_MS:
                 self.last_delete_ms = now
-                self.spawn(self.delete_expired())
+                self.spawn(self.retention.delete_expired())
 
     def should_take_over(self, observed: ObservedProgress, now_ms: float) -> bool:
-        """Return whether this entry VM should take a batch over now.
-
-        That is the case when a handover is overdue, the holder is silent or has
-        restarted, or the batch was released. A finished handover is forgotten.
-        """
+        """Return whether this entry VM should take a batch over now."""
         progress = observed.progress
         batch_id = progress.header.batch_id
-        if progress.ended or self.is_handling(batch_id):
-            self.handovers.pop(batch_id, None)
-            if progress.ended:
-                self.unconfirmed_ms.pop(batch_id, None)
+        if progress.ended:
+            self.takeover_rule.forget(batch_id)
             return False
-        handover = self.handovers.get(batch_id)
-        if handover is not None:
-            if handover.check_overdue(observed.stored.version, now_ms):
-                return True
-            if not handover.started:
-                return False
-            del self.handovers[batch_id]
-        healthy_ms = self.follower.healthy_since_ms
-        silent_ms = now_ms - max(
-            observed.changed_ms, now_ms if healthy_ms is None else healthy_ms
-        )
-        if progress.holder == self.name:
-            return (
-                progress.incarnation != self.incarnation
-                or silent_ms > SILENCE_TIMEOUT_MS
-            )
-        jitter_share = (
-            xxh64_intdigest(f"{batch_id}/{self.name}".encode()) % 1_000 / 1_000
-        )
-        if (
-            now_ms - self.unconfirmed_ms.get(batch_id, -math.inf)
-            <= UNCONFIRMED_PAUSE_MS + jitter_share * TAKEOVER_JITTER_MS
-        ):
+        if self.is_handling(batch_id):
+            self.takeover_rule.end_handover(batch_id)
             return False
-        if progress.holder == "":
-            return silent_ms > jitter_share * RELEASED_JITTER_MS
-        return silent_ms > SILENCE_TIMEOUT_MS + jitter_share * TAKEOVER_JITTER_MS
+        return self.takeover_rule.is_due(observed, now_ms)
 
     def is_held_by_earlier_incarnation(self, progress: Progress) -> bool:
         """Return whether a row names an earlier incarnation of this entry VM."""
@@ -435,7 +391,8 @@
         read = await self.repository.progress(stored.progress.header.batch_id)
         if isinstance(read, Err):
             batch_id = stored.progress.header.batch_id
-            self.unconfirmed_ms[batch_id] = self.clock.monotonic_ms()
+            now = self.clock.monotonic_ms()
+            self.takeover_rule.unconfirmed_ms[batch_id] = now
             logger.info(
                 "holder's silence not confirmed",
                 extra={
@@ -491,30 +448,6 @@
                 extra={"batch": stored.progress.header.batch_id},
             )
 
-    async def delete_expired(self) -> None:
-        """Delete ended batches whose retention is over.
-
-        The holder of a batch deletes it; others do so only after twice the time. A
-        batch without a holder may be deleted by any entry VM.
-        """
-        now = self.clock.wall_ms()
-        limit_ms = self.retention_ms + DELETE_SLACK_MS
-        for observed in list(self.progress_view.by_batch_id.values()):
-            header = observed.progress.header
-            age_ms = now - header.submitted_unix_ms
-            if not observed.progress.ended or age_ms < limit_ms:
-                continue
-            if (
-                observed.progress.holder not in ("", self.name)
-                and age_ms < 2 * limit_ms
-            ):
-                continue
-            result = await self.repository.delete(observed.stored)
-            if isinstance(result, Err):
-                logger.warning("batch not deleted", extra={"batch": header.batch_id})
-                return
-            self.progress_view.remove(header.batch_id)
-
     async def leave(self) -> None:
         """Release all batches, with checkpoints of their items, and wait for that."""
         self.leaving = True
