scoring: what a reader needs first comes first

Cause: read as a newcomer, scoring.py used a class that stands below, and reached into the forwarding package past its public face. Change: moved, exported. No behaviour.

--- a/packages/ebonylb/src/ebonylb/batches/scoring.py
+++ b/packages/ebonylb/src/ebonylb/batches/scoring.py
@@ -3,8 +3,7 @@
 import logging
 from dataclasses import dataclass, field
 
-from ..forwarding import CallerRequest, CallerResponse, Forwarder
-from ..forwarding.request_state import RequestState
+from ..forwarding import CallerRequest, CallerResponse, Forwarder, RequestState
 from ..interfaces import Clock, Metrics
 from ..routes import Route, RouteKind, choose_target
 from .model import BatchHeader, BatchItem, ScoringRequest
@@ -19,6 +18,29 @@
 MAX_LOGGED_CAUSES, MAX_LOGGED_SERVERS = 4, 6
 
 
+@dataclass(slots=True)
+class ScoringProgress:
+    """Statistics of one item's scoring.
+
+    Attributes
+    ----------
+    score : str or None
+        Seal of the response, once there is one.
+    cause : str
+        Reason why the last try gave no score; empty otherwise.
+    waited_ms : float
+        Total time spent in the queue.
+    """
+
+    started_ms: float
+    score: str | None = None
+    cause: str = ""
+    tries: int = 0
+    internal_errors: int = 0
+    waited_ms: float = 0.0
+    servers: list[str] = field(default_factory=list)
+
+
 class ItemScorer:
     """Sends scoring requests through their routes until each has a score.
 
@@ -77,7 +99,7 @@
         scoring: ScoringRequest,
         item_route: Route,
         due_ms: float,
-        progress: "ScoringProgress",
+        progress: ScoringProgress,
     ) -> bool:
         """Send a scoring request once and return whether no retry is due."""
         progress.tries += 1
@@ -111,7 +133,7 @@
         return route if route is not None and route.kind in PLAIN_KINDS else None
 
     def log_end(
-        self, item: BatchItem, header: BatchHeader, progress: "ScoringProgress"
+        self, item: BatchItem, header: BatchHeader, progress: ScoringProgress
     ) -> None:
         """Log how the scoring of an item ended, in a single line."""
         scored = progress.score is not None
@@ -134,29 +156,6 @@
         )
 
 
-@dataclass(slots=True)
-class ScoringProgress:
-    """Statistics of one item's scoring.
-
-    Attributes
-    ----------
-    score : str or None
-        Seal of the response, once there is one.
-    cause : str
-        Reason why the last try gave no score; empty otherwise.
-    waited_ms : float
-        Total time spent in the queue.
-    """
-
-    started_ms: float
-    score: str | None = None
-    cause: str = ""
-    tries: int = 0
-    internal_errors: int = 0
-    waited_ms: float = 0.0
-    servers: list[str] = field(default_factory=list)
-
-
 def make_caller_request(scoring: ScoringRequest, now_ms: float) -> CallerRequest:
     """Return a scoring request in the form of a caller's request."""
     return CallerRequest(
--- a/packages/ebonylb/src/ebonylb/forwarding/__init__.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/__init__.py
@@ -2,5 +2,12 @@
 
 from .forwarder import Forwarder
 from .messages import CallerRequest, CallerResponse, CallerStream
+from .request_state import RequestState
 
-__all__ = ["CallerRequest", "CallerResponse", "CallerStream", "Forwarder"]
+__all__ = [
+    "CallerRequest",
+    "CallerResponse",
+    "CallerStream",
+    "Forwarder",
+    "RequestState",
+]
