--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,7 @@
 goldens: setup
 	$(BIN)/python -m ebonylb_standins.sessions --update
 
-# Slopes and plots of docs/CAPACITY.md; about 15 minutes on 12 cores.
+# Slopes and plots of docs/capacity/own-protocol.md; about 15 minutes on 12 cores.
 capacity: setup
 	$(BIN)/python -m ebonylb_standins.capacity
 
--- a/packages/ebonylb_standins/src/ebonylb_standins/capacity/__init__.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/capacity/__init__.py
@@ -1,1 +1,1 @@
-"""Measures the costs that ``docs/CAPACITY.md`` extrapolates to the target site."""
+"""Measures the costs that ``docs/capacity/own-protocol.md`` extrapolates to the target site."""
