--- a/packages/ebonylb_standins/src/ebonylb_standins/capacity/__init__.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/capacity/__init__.py
@@ -1,1 +1,4 @@
-"""Measures the costs that ``docs/capacity/own-protocol.md`` extrapolates to the target site."""
+"""Measures the costs that the page on the own protocol's capacity extrapolates.
+
+That page is ``docs/capacity/own-protocol.md``.
+"""
