--- a/packages/ebonylb/tests/test_batches.py
+++ b/packages/ebonylb/tests/test_batches.py
@@ -13,32 +13,13 @@
 from ebonylb.outcomes import Outcome, StepError
 from ebonylb_standins.histories.virtual_time import run_virtual
 from ebonylb_standins.site.servers import event_data
-from ebonylb_standins.site.world import World, configuration
-
-READ_TIMEOUT_MS = 30_000
+from ebonylb_standins.site.world import World, configuration, read_all
 
 
 def full_text(item_id, events):
     return "\n".join(event_data(item_id, number) for number in range(1, events + 1))
 
 
-async def read_all(vm, batch_id, total, timeout_ms=READ_TIMEOUT_MS):
-    """Read pages of results as a trainer does until all results are read."""
-    clock = vm.world.clock
-    deadline_ms = clock.monotonic_ms() + timeout_ms
-    results = []
-    while len(results) < total:
-        assert clock.monotonic_ms() < deadline_ms, f"{len(results)} of {total} results"
-        page = await vm.batches.read(batch_id, len(results), 500)
-        if isinstance(page, Err):
-            await clock.sleep_ms(100)
-            continue
-        assert page.ok_value.next_position == len(results) + len(page.ok_value.results)
-        results.extend(page.ok_value.results)
-        await clock.sleep_ms(50)
-    return results
-
-
 def assert_complete(batch, results):
     """Assert that each item has exactly one result, with its full text."""
     assert sorted(r.item_id for r in results) == sorted(
--- a/packages/ebonylb/tests/test_scoring.py
+++ b/packages/ebonylb/tests/test_scoring.py
@@ -5,7 +5,6 @@
 
 import msgspec
 import pytest
-from result import Err
 
 from ebonylb.batches import Batch, ScoringQueue
 from ebonylb.batches.model import ItemResult, Partial
@@ -20,29 +19,12 @@
 from ebonylb.interfaces.row_store import StoredRow
 from ebonylb_standins.histories.virtual_time import run_virtual
 from ebonylb_standins.site.servers import EVENT_INTERVAL_MS
-from ebonylb_standins.site.world import PLAIN_SERVICE, World
+from ebonylb_standins.site.world import PLAIN_SERVICE, World, read_all
 
-READ_TIMEOUT_MS = 30_000
 SCORING_ATTEMPTS = 4  # of the world's route of scoring requests
 ASK_TARGET_MS = 240.0  # target latency of a caller's plain request
 
 
-async def read_all(vm, batch_id, total, timeout_ms=READ_TIMEOUT_MS):
-    """Read results until all are read."""
-    clock = vm.world.clock
-    deadline_ms = clock.monotonic_ms() + timeout_ms
-    results = []
-    while len(results) < total:
-        assert clock.monotonic_ms() < deadline_ms, f"{len(results)} of {total} results"
-        page = await vm.batches.read(batch_id, len(results), 500)
-        if isinstance(page, Err):
-            await clock.sleep_ms(100)
-            continue
-        results.extend(page.ok_value.results)
-        await clock.sleep_ms(20)
-    return results
-
-
 def plain_servers(world):
     return [s for n, s in world.port.servers.items() if n.startswith("p")]
 
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -3,8 +3,16 @@
 import asyncio
 from dataclasses import dataclass, field
 
+from result import Err
+
 from ebonylb.adapters import NullMetrics
-from ebonylb.batches import Batch, BatchHeader, BatchItem, ScoringRequest
+from ebonylb.batches import (
+    Batch,
+    BatchHeader,
+    BatchItem,
+    ItemResult,
+    ScoringRequest,
+)
 from ebonylb.fleet import ListedServer, ServerStage
 from ebonylb.fleet.selector import Locality
 from ebonylb.interfaces.server_client import ModelVersion
@@ -29,6 +37,7 @@
 
 ENGINE_SERVICE, PLAIN_SERVICE = "lm", "desk"
 MODELS = ("m", "n")
+READ_TIMEOUT_MS = 30_000
 REGIONS = {"north": "gorge", "south": "gorge", "high": "highland"}
 
 
@@ -268,3 +277,28 @@
             ),
             tuple(items),
         )
+
+
+async def read_all(
+    vm: EntryVm, batch_id: str, total: int, timeout_ms: float = READ_TIMEOUT_MS
+) -> list[ItemResult]:
+    """Read pages of results as a trainer does until all results are read.
+
+    Raises
+    ------
+    AssertionError
+        Results are missing after `timeout_ms`, or a page's positions are wrong.
+    """
+    clock = vm.world.clock
+    deadline_ms = clock.monotonic_ms() + timeout_ms
+    results: list[ItemResult] = []
+    while len(results) < total:
+        assert clock.monotonic_ms() < deadline_ms, f"{len(results)} of {total} results"
+        page = await vm.batches.read(batch_id, len(results), 500)
+        if isinstance(page, Err):
+            await clock.sleep_ms(100)
+            continue
+        assert page.ok_value.next_position == len(results) + len(page.ok_value.results)
+        results.extend(page.ok_value.results)
+        await clock.sleep_ms(50)
+    return results
