streams: progress is events; slow ones stay, stalled ones end

Cause: a resumable stream was cut after max(1 s, 2 x target latency) on each server, also where all were slow, and broken off after the route's attempts; one that may not be resumed had no limit once its head had come. Change: a cut needs an attempt, time and a server that is not backing off; otherwise the silence may last until the deadline, and as long as callers wait for an event. Before: test_a_slow_sound_stream_is_not_cut and test_the_last_attempt_is_not_cut_while_it_moves fail with 'no server continued the stream'. After: test_forwarding passes.

--- a/packages/ebonylb/src/ebonylb/forwarding/streams.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/streams.py
@@ -22,23 +22,55 @@
 MIN_STALL_TIMEOUT_MS = 1_000.0
 # Callers disconnect after four times the target latency, where that is longer than 2 s.
 STALL_TIMEOUT_IN_TARGET_LATENCIES = 2.0
+# A stream stalls on a server, and is not only slow there, after this many of the gaps
+# between events that are usual on the servers of its service now.
+STALL_TIMEOUT_IN_GAPS = 8.0
+# Callers disconnect after a silence of this many target latencies, or of the minimum.
+# A stream that no other server can continue ends no sooner.
+ABANDON_TIMEOUT_IN_TARGET_LATENCIES = 4.0
+MIN_ABANDON_TIMEOUT_MS = 2_000.0
 
 
-def stall_timeout_s(state: "RequestState") -> float | None:
+def can_continue_elsewhere(forwarder: "Forwarder", state: "RequestState") -> bool:
+    """Return whether another server can continue a stream better than its own.
+
+    The last attempt stays where it is, and so does a stream whose other servers have
+    all failed a moment ago.
+    """
+    if not state.route.resumable or state.counted_attempts >= state.route.attempts:
+        return False
+    now = forwarder.clock.monotonic_ms()
+    directory = forwarder.directory
+    return any(
+        server.name != state.sent_to[-1]
+        and not directory.condition(server.name).is_backing_off(now)
+        for server in directory.ready(state.service)
+    )
+
+
+def stall_timeout_s(forwarder: "Forwarder", state: "RequestState") -> float:
     """Return the time to wait for a server's next event, in seconds.
 
-    It is None for a stream that must not be resumed, because no other server could
-    continue it.
+    Only events count as progress, so that comments or parts of an event do not extend
+    it. A stream that is better off where it is may be silent until its deadline, and
+    for as long as its caller waits for an event.
     """
-    if not state.route.resumable:
-        return None
-    return (
-        max(
-            MIN_STALL_TIMEOUT_MS,
-            STALL_TIMEOUT_IN_TARGET_LATENCIES * state.route.target_latency_ms,
-        )
-        / 1000
+    target_latency_ms = state.route.target_latency_ms
+    remaining_ms = forwarder.remaining_ms(state)
+    stall_timeout_ms = max(
+        MIN_STALL_TIMEOUT_MS,
+        STALL_TIMEOUT_IN_TARGET_LATENCIES * target_latency_ms,
+        STALL_TIMEOUT_IN_GAPS * forwarder.selector.median_gap_ms(state.service),
+    )
+    # Another server needs time, too.
+    if stall_timeout_ms < remaining_ms and can_continue_elsewhere(forwarder, state):
+        return stall_timeout_ms / 1000
+    abandon_timeout_ms = max(
+        MIN_ABANDON_TIMEOUT_MS,
+        ABANDON_TIMEOUT_IN_TARGET_LATENCIES * target_latency_ms,
+        remaining_ms,
     )
+    return abandon_timeout_ms / 1000
 
 
 async def open_with_timeout(
@@ -50,13 +82,14 @@
     """Open a stream on a server, or return an error if its head comes too late."""
     request = state.request.for_server(forwarder.remaining_ms(state), last_number)
     try:
-        async with asyncio.timeout(stall_timeout_s(state)):
+        async with asyncio.timeout(stall_timeout_s(forwarder, state)):
             return await forwarder.server_client.open(server.endpoint, request)
     except TimeoutError:
         return Err(StepError("stream.open", server.name, "no response in time"))
 
 
 async def read_next_event(
+    forwarder: "Forwarder",
     state: "RequestState",
     server: ListedServer,
     blocks: AsyncIterator[tuple[int, bytes]],
@@ -69,7 +102,7 @@
         The stream broke, or the server sent no event in time.
     """
     try:
-        async with asyncio.timeout(stall_timeout_s(state)):
+        async with asyncio.timeout(stall_timeout_s(forwarder, state)):
             return await anext(blocks, None)
     except TimeoutError as error:
         raise StepError("stream.stall", server.name, "no event in time") from error
@@ -91,12 +124,18 @@
     while True:
         condition = forwarder.directory.condition(server.name)
         condition.own_requests += 1
+        last_event_ms: float | None = None
         try:
             blocks = response.raw_events()
             while (
-                received := await read_next_event(state, server, blocks)
+                received := await read_next_event(forwarder, state, server, blocks)
             ) is not None:
                 number, block = received
+                now = forwarder.clock.monotonic_ms()
+                if last_event_ms is not None:
+                    median_gap_ms = forwarder.selector.median_gap_ms(state.service)
+                    condition.record_gap(now - last_event_ms, median_gap_ms, now)
+                last_event_ms = now
                 if number != last_number + 1:
                     raise StepError(
                         "stream.order",
--- a/packages/ebonylb/tests/test_forwarding.py
+++ b/packages/ebonylb/tests/test_forwarding.py
@@ -429,3 +429,58 @@
             assert count_runs(world) == 3
 
         run_virtual(scenario())
+
+
+class TestSlowAndStalledStreams:
+    """Pattern: all servers of a service are slow at once, or one of them stalls."""
+
+    @staticmethod
+    async def receive(world, vm, path, events=20):
+        world.port.planned_responses["q"] = PlannedResponse(events=events)
+        response = await serve(vm, make_request(world, path=path))
+        return [block async for block in response.chunks]
+
+    @pytest.mark.parametrize("path", ["/chat/1", "/live/1"])
+    def test_a_slow_sound_stream_is_not_cut(self, path):
+        """An event each 1.5 s, on every server, for a minute."""
+
+        async def scenario():
+            world = World(plain_services=4)
+            for server in world.port.servers.values():
+                server.slowdown = 1_500 / EVENT_INTERVAL_MS
+            received = await self.receive(world, world.start("a"), path, 40)
+            assert received == blocks(1, 40)
+            runs = count_runs(world)
+            assert runs == 1 if path == "/live/1" else runs <= 3
+
+        run_virtual(scenario())
+
+    def test_the_last_attempt_is_not_cut_while_it_moves(self):
+        async def scenario():
+            world = World(plain_services=4)
+            for server in world.port.servers.values():
+                server.slowdown = 1_900 / EVENT_INTERVAL_MS
+            received = await self.receive(world, world.start("a"), "/chat/1", 10)
+            assert received == blocks(1, 10)
+
+        run_virtual(scenario())
+
+    @pytest.mark.parametrize("path", ["/chat/1", "/live/1"])
+    def test_a_stream_that_stalls_for_good_ends(self, path):
+        async def scenario():
+            world = World(plain_services=1)
+            vm = world.start("a")
+            world.port.planned_responses["q"] = PlannedResponse(events=20)
+            request = make_request(world, path=path)
+            response = await serve(vm, request)
+            received = []
+            with pytest.raises(StepError):
+                async for block in response.chunks:
+                    received.append(block)
+                    if len(received) == 5:
+                        world.port.servers["p0"].mode = "dark"
+            assert received == blocks(1, 5)
+            # The caller waits for 2 s in all, and no longer than that for an event.
+            assert world.clock.monotonic_ms() - request.received_ms < 4_500
+
+        run_virtual(scenario())
