batches: the silence of a run is judged by what its server does otherwise

Cause: items were cut after 700 ms without a head and 800 ms without an event, also while they waited in the queue of a live engine: three holders that do not know of each other fill the same engines. Two faults were found on the way: an unexpected exception ended an item's task for good, and a heartbeat that was under way when a release began counted as the release, so that others took the batch over 1.5 s later. Change: RunSilence cuts a run if its server is silent to all runs while peers are not, if another server surely has a free slot, or after 2.5 s. An item runs again after an exception. A batch is left only once its row has no holder.

--- a/packages/ebonylb/src/ebonylb/batches/holder.py
+++ b/packages/ebonylb/src/ebonylb/batches/holder.py
@@ -33,6 +33,8 @@
 MAX_CHECKPOINTS_PER_COMMIT = 40
 MAX_COMMIT_BYTES = 600_000
 RETRY_MS = 100.0
+# Pause before an item that failed unexpectedly runs again.
+ITEM_RESTART_DELAY_MS = 1_000.0
 MAX_RETRY_MS = 600.0
 # Wall clocks of entry VMs may differ or be adjusted. With this allowance no item is
 # abandoned before its retention is over by the clock of each entry VM.
@@ -169,10 +171,26 @@
             await cancel_and_wait(self.tasks)
 
     async def run_item(self, state: ItemState) -> None:
-        """Run one item and hand its result to the next commit."""
-        result = await self.runner.run(
-            state, self.batch.header, self.route, self.due_ms, self.abandon_at_ms
-        )
+        """Run one item and hand its result to the next commit.
+
+        An unexpected exception costs a pause and not the item, without whose result
+        the batch would never end.
+        """
+        while True:
+            try:
+                result = await self.runner.run(
+                    state,
+                    self.batch.header,
+                    self.route,
+                    self.due_ms,
+                    self.abandon_at_ms,
+                )
+                break
+            except Exception:
+                item_id = state.item.item_id
+                logger.exception("item run failed", extra={"item": item_id})
+                self.metrics.incr("batch.item_errors")
+                await self.clock.sleep_ms(ITEM_RESTART_DELAY_MS)
         self.item_states.pop(state.item.item_id, None)
         self.pending_results.append(result)
         self.wake_event.set()
@@ -250,7 +268,8 @@
             if committed:
                 last_commit_ms, retry_ms = now, RETRY_MS
                 last_checkpoint_ms = now if checkpoint_due else last_checkpoint_ms
-                if self.progress.ended or self.releasing:
+                # A commit that was under way when the release began did not release.
+                if self.progress.ended or not self.progress.holder:
                     return
             elif not self.stopping:
                 await self.clock.sleep_ms(retry_ms)
--- a/packages/ebonylb/src/ebonylb/batches/item_run.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_run.py
@@ -15,18 +15,13 @@
 from .model import BatchHeader, ItemResult
 from .placement import ItemPlacement, ItemRequirements
 from .scoring import ItemScorer
+from .silence import RunMovedError, RunSilence
 
 logger = logging.getLogger(__name__)
 
 UNPROCESSABLE = 422
 INTERNAL_ERROR = 500
-# A stream times out without an event for this many median gaps between events, but not
-# before the minimum: the server froze or its connection became silent.
-STALL_TIMEOUT_GAPS = 8.0
-MIN_STALL_TIMEOUT_MS = 400.0
-# Until the first event, an item may wait in the server's queue.
-FIRST_EVENT_TIMEOUT_MS = 800.0
-HEAD_TIMEOUT_MS = 700.0
+REFUSAL_BODY_TIMEOUT_MS = 700.0
 # Minimum time on a server before its speed is judged, and so between two moves.
 MIN_RUN_BEFORE_MOVE_MS = 200.0
 MAX_MOVES = 10
@@ -43,10 +38,6 @@
 RUN_DEADLINE_MS = 60_000.0
 
 
-class RunMovedError(Exception):
-    """The run moves to another server, although this server did not fail."""
-
-
 class ItemRunner:
     """Runs items on servers until each has a result.
 
@@ -249,7 +240,10 @@
         RunMovedError
             If the server is too slow and another one would be faster.
         """
-        response = await self.open(server, state)
+        silence = RunSilence(self.placement, self.directory, self.clock, server, need)
+        async with silence.limit("item.open"):
+            response = await self.open(server, state)
+        silence.record_sign()
         try:
             head = response.head
             condition = self.directory.condition(server.name)
@@ -276,7 +270,10 @@
             if head.status != 200:
                 raise StepError("item.status", server.name, f"status {head.status}")
             self.check_version(server, state, need, head.weight_version, route)
-            await self.read_events(server, state, need, response, head.weight_version)
+            async with silence.limit("item.stall"):
+                await self.read_events(
+                    server, state, need, response, head.weight_version, silence
+                )
             condition.record_success(self.clock.monotonic_ms())
             return state.result()
         finally:
@@ -291,7 +288,7 @@
             If the body ended early or did not arrive in time.
         """
         try:
-            async with asyncio.timeout(HEAD_TIMEOUT_MS / 1000):
+            async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_MS / 1000):
                 await response.body()
         except TimeoutError as error:
             raise StepError(
@@ -306,7 +303,7 @@
         Raises
         ------
         StepError
-            If the connection failed or the head did not arrive in time.
+            If the connection failed.
         """
         item = state.item
         request = ServerRequest(
@@ -318,13 +315,7 @@
             RUN_DEADLINE_MS,
             len(state.events) or None,
         )
-        try:
-            async with asyncio.timeout(HEAD_TIMEOUT_MS / 1000):
-                opened = await self.server_client.open(server.endpoint, request)
-        except TimeoutError as error:
-            raise StepError(
-                "item.open", server.name, "no response within the timeout"
-            ) from error
+        opened = await self.server_client.open(server.endpoint, request)
         if isinstance(opened, Err):
             raise opened.err_value
         return opened.ok_value
@@ -382,37 +373,20 @@
         need: ItemRequirements,
         response: ServerResponse,
         version: int | None,
+        silence: RunSilence,
     ) -> None:
         """Append the events of a run to the item's state until the stream ends.
 
         Raises
         ------
         StepError
-            If the stream stalls, an event is out of order or has no weight version.
+            If the stream breaks, an event is out of order or has no weight version.
         RunMovedError
             If the server is too slow and another one would be faster.
         """
         condition = self.directory.condition(server.name)
-        events = response.events()
         started_ms = last_event_ms = self.clock.monotonic_ms()
-        is_first_event = True
-        while True:
-            median_gap_ms = self.placement.selector.median_gap_ms(need.service)
-            stall_timeout_ms = max(
-                MIN_STALL_TIMEOUT_MS, STALL_TIMEOUT_GAPS * median_gap_ms
-            )
-            try:
-                async with asyncio.timeout(
-                    (FIRST_EVENT_TIMEOUT_MS if is_first_event else stall_timeout_ms)
-                    / 1000
-                ):
-                    event = await anext(events, None)
-            except TimeoutError as error:
-                raise StepError(
-                    "item.stall", server.name, "no event within the timeout"
-                ) from error
-            if event is None:
-                return
+        async for event in response.events():
             now = self.clock.monotonic_ms()
             if event.number != len(state.events) + 1:
                 raise StepError(
@@ -429,9 +403,11 @@
                 )
             state.events.append(event.data)
             state.versions.append(version or 0)
-            if not is_first_event:
+            if silence.has_events:
+                median_gap_ms = self.placement.selector.median_gap_ms(need.service)
                 condition.record_gap(now - last_event_ms, median_gap_ms, now)
-            is_first_event, last_event_ms = False, now
+            silence.record_event()
+            last_event_ms = now
             if now - started_ms > MIN_RUN_BEFORE_MOVE_MS and self.is_worth_moving(
                 server, state, need
             ):
