placement: long items run on the fastest engines; a queue is no silence

Cause: a step takes as long as its longest item (160 to 179 events, 5.4 to 7.7 s of a step due after 7.5 s), and engines of one service differ in speed by a third: 42 to 44 ms an event on two of five, 33 on the others. A load of 8 of 8 slots counted as twice the cost, so that a third of the long items ran on slow engines; a group's server was kept for them, too. Hypothesis: worst windows and the trainers that fall behind gain if speed counts in proportion to an item's share of the time until it is due. Change: LengthEstimate (the caller's estimate, corrected by events received); engine_cost weighs speed and load by it; a run moves to a faster engine for a gain above 250 ms. Runs that have not begun are cut only on evidence that their server is lost.

--- a/packages/ebonylb/src/ebonylb/batches/__init__.py
+++ b/packages/ebonylb/src/ebonylb/batches/__init__.py
@@ -2,6 +2,7 @@
 
 from .holder import BatchHolder
 from .item_run import ItemRunner
+from .lengths import LengthEstimate
 from .model import Batch, BatchHeader, BatchItem, ItemResult, ScoringRequest
 from .ownership import BatchOwnership
 from .placement import ItemPlacement
@@ -24,6 +25,7 @@
     "ItemResult",
     "ItemRunner",
     "ItemScorer",
+    "LengthEstimate",
     "ResultsPage",
     "ScoringQueue",
     "ScoringRequest",
--- a/packages/ebonylb/src/ebonylb/batches/item_run.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_run.py
@@ -12,6 +12,7 @@
 from ..outcomes import StepError
 from ..routes import Route, choose_target
 from .item_state import ItemState
+from .lengths import LengthEstimate
 from .model import BatchHeader, ItemResult
 from .placement import ItemPlacement, ItemRequirements
 from .scoring import ItemScorer
@@ -49,6 +50,8 @@
         Connections to servers.
     scorer : ItemScorer
         Gets the scores of finished texts.
+    lengths : LengthEstimate
+        Estimates how long items still run.
     """
 
     def __init__(
@@ -59,7 +62,9 @@
         clock: Clock,
         metrics: Metrics,
         scorer: ItemScorer,
+        lengths: LengthEstimate,
     ) -> None:
+        self.lengths = lengths
         self.placement = placement
         self.directory = directory
         self.server_client = server_client
@@ -76,11 +81,12 @@
         server has it any more, the events are discarded.
         """
         item = state.item
+        service = choose_target(route, item.item_id).service
         need = ItemRequirements(
-            service=choose_target(route, item.item_id).service,
+            service=service,
             model=item.model or header.model,
             due_ms=due_ms,
-            length_hint=item.length_hint,
+            remaining_events=self.lengths.remaining_events(state, service),
             min_version=header.min_version,
             group=item.group,
         )
@@ -434,6 +440,7 @@
         """Return whether the rest of a run should move to another server."""
         if state.moves >= MAX_MOVES:
             return False
+        need.remaining_events = self.lengths.remaining_events(state, need.service)
         return self.placement.should_move(
             server, need, len(state.events) >= LONG_RUN_EVENTS
         )
--- a/packages/ebonylb/src/ebonylb/batches/placement.py
+++ b/packages/ebonylb/src/ebonylb/batches/placement.py
@@ -5,7 +5,7 @@
 import itertools
 import logging
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..fleet import ListedServer, ServerDirectory, ServerSelector
 from ..interfaces import Clock
@@ -20,9 +20,16 @@
 # a step takes as long as its longest item, and disturbances would add a fifth to it.
 DISTURBED_FACTOR = 1.7
 UNDISTURBED_FACTOR = 1.25
+# An item that needs this share of the time until it is due gets the fastest server.
+LONG_ITEM_SHARE = 0.5
+# Engines of one service differ in speed. A run moves from one that is slower than the
+# median by this factor if it gains more than the minimum, which is several times the
+# cost of a move.
+SLOWER_FACTOR = 1.1
+MIN_MOVE_GAIN_MS = 250.0
 # A server processes the prompt of a group only once when the group's items run there
 # together. Such a server is preferred, unless it is fuller than the emptiest server by
-# this share of its slots.
+# this share of its slots. For a long item, the prompt is a small part of the work.
 GROUP_AFFINITY_BONUS = 0.15
 MAX_REMEMBERED_GROUPS = 4_000
 # An item that has waited this long is sent to a server whose slots others seem to use,
@@ -39,9 +46,9 @@
     ----------
     due_ms : float
         Monotonic time at which the batch is due; earlier batches go first.
-    length_hint : int
-        Estimated output tokens; of items due at the same time longer ones go first,
-        since they end last.
+    remaining_events : float
+        Estimated number of events to generate. The item that must start first to be
+        ready in time goes first.
     min_version, exact_version : int or None
         Minimum weight version, and the only one allowed if not None.
     group : str
@@ -53,7 +60,7 @@
     service: str
     model: str
     due_ms: float
-    length_hint: int = 0
+    remaining_events: float = 0.0
     min_version: int = 0
     exact_version: int | None = None
     group: str = ""
@@ -74,7 +81,7 @@
 class Waiter:
     """An item in the queue; `granted_server` resolves to its server."""
 
-    sort_key: tuple[float, int, int]
+    sort_key: tuple[float, int]
     need: ItemRequirements
     queued_ms: float
     granted_server: asyncio.Future[ListedServer] = field(
@@ -83,7 +90,7 @@
 
 
 class ItemPlacement:
-    """Priority queue that assigns servers to items, the earliest due first.
+    """Priority queue that assigns servers to items, the one that must start first.
 
     Parameters
     ----------
@@ -109,10 +116,7 @@
 
     async def acquire(self, need: ItemRequirements) -> ListedServer:
         """Wait for a server and return it; the caller must `release` it."""
-        sort_key = (need.due_ms, -need.length_hint, next(self.arrival_numbers))
-        waiter = Waiter(sort_key, need, self.clock.monotonic_ms())
-        bisect.insort(self.waiters, waiter, key=lambda w: w.sort_key)
-        self.grant_servers()
+        waiter = self.enqueue(need)
         try:
             return await waiter.granted_server
         except asyncio.CancelledError:
@@ -122,6 +126,14 @@
                 self.waiters.remove(waiter)
             raise
 
+    def enqueue(self, need: ItemRequirements) -> Waiter:
+        """Add an item to the queue, and grant it a server at once if one is free."""
+        sort_key = (need.due_ms, -need.remaining_events, next(self.arrival_numbers))
+        waiter = Waiter(sort_key, need, self.clock.monotonic_ms())
+        bisect.insort(self.waiters, waiter, key=lambda w: w.sort_key)
+        self.grant_servers()
+        return waiter
+
     def release(self, server: ListedServer) -> None:
         """Return a server's slot and serve waiting items."""
         condition = self.directory.condition(server.name)
@@ -204,6 +216,7 @@
         """
         now = self.clock.monotonic_ms()
         median_gap_ms = self.selector.median_gap_ms(need.service)
+        length_share = self.length_share(need, median_gap_ms)
         best: ListedServer | None = None
         best_cost = float("inf")
         for server in self.directory.ready(need.service):
@@ -227,34 +240,50 @@
                 ):
                     # A single item probes whether the server has recovered.
                     continue
-            cost = self.selector.engine_cost(server, median_gap_ms)
+            cost = self.selector.engine_cost(server, median_gap_ms, length_share)
             if need.group and self.group_servers.get(need.group) == server.name:
-                cost -= GROUP_AFFINITY_BONUS
+                cost -= GROUP_AFFINITY_BONUS * (1 - length_share)
             if cost < best_cost:
                 best, best_cost = server, cost
         return best
 
+    def length_share(self, need: ItemRequirements, median_gap_ms: float) -> float:
+        """Return how long an item is relative to the time until it is due.
+
+        The result is from 0 to 1. It is 1 for an item that needs `LONG_ITEM_SHARE` of
+        that time, and for one that is overdue.
+        """
+        duration_ms = need.remaining_events * median_gap_ms
+        left_ms = LONG_ITEM_SHARE * (need.due_ms - self.clock.monotonic_ms())
+        return min(1.0, duration_ms / left_ms) if left_ms > 0 else 1.0
+
     def should_move(
         self, server: ListedServer, need: ItemRequirements, long: bool = False
     ) -> bool:
         """Return whether a run would end sooner on another server.
 
-        A long run also moves away from a server that is only temporarily disturbed.
+        A long run also moves away from a server that is only temporarily disturbed, or
+        that is steadily slower than another one.
         """
         now = self.clock.monotonic_ms()
         median_gap_ms = self.selector.median_gap_ms(need.service)
         condition = self.directory.condition(server.name)
-        slow = condition.slowness(median_gap_ms, now) > SLOW_FACTOR
+        gap_ms = condition.expected_gap_ms(median_gap_ms, now)
+        slow = gap_ms > SLOW_FACTOR * median_gap_ms
         disturbed = (
             long and condition.recent_slowness(median_gap_ms, now) > DISTURBED_FACTOR
         )
-        if not slow and not disturbed:
+        slower = gap_ms > SLOWER_FACTOR * median_gap_ms
+        if not slow and not disturbed and not slower:
             return False
-        other = self.choose(need)
-        if other is None or other.name == server.name:
+        other = self.choose(replace(need, avoid=server.name))
+        if other is None:
             return False
         other_condition = self.directory.condition(other.name)
-        return (
-            slow
-            or other_condition.recent_slowness(median_gap_ms, now) < UNDISTURBED_FACTOR
-        )
+        if slow:
+            return True
+        if other_condition.recent_slowness(median_gap_ms, now) >= UNDISTURBED_FACTOR:
+            return False
+        other_gap_ms = other_condition.expected_gap_ms(median_gap_ms, now)
+        gain_ms = need.remaining_events * (gap_ms - other_gap_ms)
+        return disturbed or gain_ms > MIN_MOVE_GAIN_MS
--- a/packages/ebonylb/src/ebonylb/batches/silence.py
+++ b/packages/ebonylb/src/ebonylb/batches/silence.py
@@ -84,12 +84,14 @@
         silence_ms = now - self.last_sign_ms
         if silence_ms < timeout_ms:
             return False
+        # A run that has not begun may wait behind work of other entry VMs, unless other
+        # runs have failed there.
+        has_evidence = self.has_events or self.condition.is_backing_off(now)
         server_silence_ms = now - max(self.condition.last_sign_ms, self.last_sign_ms)
-        server_is_silent = server_silence_ms >= timeout_ms
-        if silence_ms >= MAX_SILENCE_MS or (server_is_silent and self.has_live_peer()):
+        if has_evidence and server_silence_ms >= timeout_ms and self.has_live_peer():
             self.is_server_lost = True
             return True
-        return self.has_better_place()
+        return silence_ms >= MAX_SILENCE_MS or self.has_better_place()
 
     def has_live_peer(self) -> bool:
         """Return whether another server has sent anything a moment ago.
@@ -123,9 +125,10 @@
         Raises
         ------
         StepError
-            The server is lost, or the run's connection is.
+            The server is lost.
         RunMovedError
-            The run waits on a live server, and another one has a free slot.
+            The run waits on a live server, and another one has a free slot, or its
+            connection may be silent for good.
         """
         loop = asyncio.get_running_loop()
 
--- a/packages/ebonylb/src/ebonylb/fleet/condition.py
+++ b/packages/ebonylb/src/ebonylb/fleet/condition.py
@@ -185,14 +185,18 @@
         """Return whether the average gap was above `limit` times the median."""
         return self.gap_ms is not None and self.gap_ms > limit * median_gap_ms
 
+    def expected_gap_ms(self, median_gap_ms: float, now_ms: float) -> float:
+        """Return the average gap; the median when there is no recent observation."""
+        if self.gap_ms is None or now_ms - self.gap_updated_ms > SLOWNESS_TTL_MS:
+            return median_gap_ms
+        return self.gap_ms
+
     def slowness(self, median_gap_ms: float, now_ms: float) -> float:
         """Return the average gap relative to the median, at least 1.
 
         It is 1 when there is no recent observation.
         """
-        if self.gap_ms is None or now_ms - self.gap_updated_ms > SLOWNESS_TTL_MS:
-            return 1.0
-        return max(1.0, self.gap_ms / median_gap_ms)
+        return max(1.0, self.expected_gap_ms(median_gap_ms, now_ms) / median_gap_ms)
 
     def is_backing_off(self, now_ms: float) -> bool:
         """Return whether the server is in backoff after a failure or refusal."""
--- a/packages/ebonylb/src/ebonylb/fleet/selector.py
+++ b/packages/ebonylb/src/ebonylb/fleet/selector.py
@@ -27,6 +27,9 @@
 # Slowness that a full batch adds: tokens of a full batch take about a third longer, and
 # further work has to wait.
 LOAD_COST = 1.0
+# A long stream has its slot already when others have to wait, so that only the slower
+# tokens count.
+LONG_STREAM_LOAD_COST = 0.25
 # Nearby engines are preferred: traffic across regions is paid for and costs a round
 # trip. Indexed by distance.
 ENGINE_DISTANCE_COST = (0.0, 0.02, 0.1)
@@ -151,19 +154,31 @@
         gaps.extend([DEFAULT_GAP_MS] * (MIN_OBSERVED_GAPS - len(gaps)))
         return statistics.median_low(gaps)
 
-    def engine_cost(self, server: ListedServer, median_gap_ms: float) -> float:
+    def engine_cost(
+        self, server: ListedServer, median_gap_ms: float, length_share: float
+    ) -> float:
         """Return the cost of one more stream on an engine.
 
-        It is 1 for an idle engine in the same failure domain.
+        It is 1 for an idle engine in the same failure domain. A long stream should run
+        on a fast engine, even if it is fuller. A short one loses little on a slow one,
+        where it leaves the fast ones to the long streams.
+
+        Parameters
+        ----------
+        length_share : float
+            Expected duration of the stream relative to the time until it is due, from
+            0 to 1.
         """
         now = self.clock.monotonic_ms()
         condition = self.directory.condition(server.name)
+        slowness = max(
+            condition.slowness(median_gap_ms, now),
+            condition.recent_slowness(median_gap_ms, now),
+        )
+        load_cost = LOAD_COST + length_share * (LONG_STREAM_LOAD_COST - LOAD_COST)
         return (
-            max(
-                condition.slowness(median_gap_ms, now),
-                condition.recent_slowness(median_gap_ms, now),
-            )
-            * (1 + LOAD_COST * condition.load(now) / server.slots)
+            (1 + length_share * (slowness - 1))
+            * (1 + load_cost * condition.load(now) / server.slots)
             + ENGINE_DISTANCE_COST[distance_of(self.locality, server.failure_domain)]
             + ENGINE_FAILURE_COST * condition.decayed_failure_share(now)
         )
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -12,6 +12,7 @@
     ItemPlacement,
     ItemRunner,
     ItemScorer,
+    LengthEstimate,
     ScoringQueue,
 )
 from ..batches.rows import PROGRESS_TABLE
@@ -157,6 +158,7 @@
                 ItemScorer(
                     self.forwarder, ScoringQueue(self.directory), clock, metrics
                 ),
+                LengthEstimate(self.routes),
             ),
             clock,
             metrics,
