placement: the item that must start first goes first

Cause: items waited in the order of their batch's due time; a long item of a later step waited behind short ones that had seconds to spare. Hypothesis: steps with long items end sooner, others lose nothing. Change: the queue is in order of the due time less the expected duration. Test: TestOrder, red with the order of due times.

--- a/packages/ebonylb/src/ebonylb/batches/placement.py
+++ b/packages/ebonylb/src/ebonylb/batches/placement.py
@@ -128,7 +128,11 @@
 
     def enqueue(self, need: ItemRequirements) -> Waiter:
         """Add an item to the queue, and grant it a server at once if one is free."""
-        sort_key = (need.due_ms, -need.remaining_events, next(self.arrival_numbers))
+        # The latest time to start: a long item goes before a short one that can wait.
+        start_ms = need.due_ms - need.remaining_events * self.selector.median_gap_ms(
+            need.service
+        )
+        sort_key = (start_ms, next(self.arrival_numbers))
         waiter = Waiter(sort_key, need, self.clock.monotonic_ms())
         bisect.insort(self.waiters, waiter, key=lambda w: w.sort_key)
         self.grant_servers()
--- a/packages/ebonylb/tests/test_long_items.py
+++ b/packages/ebonylb/tests/test_long_items.py
@@ -11,6 +11,7 @@
 from ebonylb.batches import Batch
 from ebonylb.batches.item_state import ItemState
 from ebonylb.batches.lengths import LengthEstimate
+from ebonylb.batches.placement import ItemRequirements
 from ebonylb_standins.histories.virtual_time import run_virtual
 from ebonylb_standins.site.servers import EVENT_INTERVAL_MS
 from ebonylb_standins.site.world import World, read_all
@@ -115,3 +116,29 @@
             assert self.estimate(hint, received) == remaining
 
         run_virtual(scenario())
+
+
+class TestOrder:
+    def test_the_item_that_must_start_first_goes_first(self):
+        """A long item of a later step goes before a short one that can still wait."""
+
+        async def scenario():
+            world = World(engines=1)
+            vm = world.start("a")
+            need = {"service": "lm", "model": "m", "min_version": 1}
+            held = [
+                await vm.placement.acquire(ItemRequirements(due_ms=1, **need))
+                for _ in range(16)
+            ]
+            now = world.clock.monotonic_ms()
+            short = vm.placement.enqueue(
+                ItemRequirements(due_ms=now + 7_500, remaining_events=10, **need)
+            )
+            long = vm.placement.enqueue(
+                ItemRequirements(due_ms=now + 9_500, remaining_events=170, **need)
+            )
+            vm.placement.release(held[0])
+            assert long.granted_server.done()
+            assert not short.granted_server.done()
+
+        run_virtual(scenario())
