--- a/packages/ebonylb/src/ebonylb/batches/__init__.py
+++ b/packages/ebonylb/src/ebonylb/batches/__init__.py
@@ -5,7 +5,6 @@
 from .lengths import LengthEstimate
 from .model import Batch, BatchHeader, BatchItem, ItemResult, ScoringRequest
 from .ownership import BatchOwnership
-from .pace import TrainerPace
 from .placement import ItemPlacement
 from .progress_view import BatchProgressView
 from .repository import BatchRepository
@@ -30,5 +29,4 @@
     "ResultsPage",
     "ScoringQueue",
     "ScoringRequest",
-    "TrainerPace",
 ]
--- a/packages/ebonylb/src/ebonylb/batches/holder.py
+++ b/packages/ebonylb/src/ebonylb/batches/holder.py
@@ -16,7 +16,6 @@
 from .item_run import ItemRunner
 from .item_state import ItemState
 from .model import Batch, ItemResult, Partial, Progress
-from .pace import TrainerPace
 from .repository import BatchRepository, StoredProgress
 
 logger = logging.getLogger(__name__)
@@ -59,8 +58,6 @@
         Called with each progress row that the holder has written or read.
     row_bytes : int
         Maximum size of a row's value in bytes.
-    pace : TrainerPace
-        Knows which trainers wait for their steps.
     """
 
     def __init__(
@@ -74,7 +71,6 @@
         metrics: Metrics,
         report_progress: Callable[[StoredProgress], None],
         row_bytes: int,
-        pace: TrainerPace,
     ) -> None:
         self.batch = batch
         self.stored = stored
@@ -96,8 +92,7 @@
         now = clock.monotonic_ms()
         age_ms = max(0, clock.wall_ms() - batch.header.submitted_unix_ms)
         age_ms = min(age_ms, route.retention_ms)
-        lead_ms = pace.lead_ms(batch.header, now - age_ms)
-        self.due_ms = now + route.result_deadline_ms - age_ms - lead_ms
+        self.due_ms = now + route.result_deadline_ms - age_ms
         self.abandon_at_ms = now + route.retention_ms + CLOCK_SLACK_MS - age_ms
 
     @property
--- a/packages/ebonylb/src/ebonylb/batches/ownership.py
+++ b/packages/ebonylb/src/ebonylb/batches/ownership.py
@@ -17,7 +17,6 @@
 from .item_run import ItemRunner
 from .model import Batch, BatchHeader, Progress
 from .output_reuse import StepOutputReuse
-from .pace import TrainerPace
 from .progress_view import BatchProgressView, ObservedProgress
 from .repository import BatchRepository, StoredProgress
 from .retention import BatchRetention
@@ -75,7 +74,6 @@
         clock: Clock,
         metrics: Metrics,
         retention_ms: float,
-        pace: TrainerPace,
     ) -> None:
         self.name = name
         self.incarnation = incarnation
@@ -86,7 +84,6 @@
         self.runner = runner
         self.clock = clock
         self.metrics = metrics
-        self.pace = pace
         self.output_reuse = StepOutputReuse(progress_view, repository)
         self.holders: dict[str, BatchHolder] = {}
         self.claiming_ids: set[str] = set()
@@ -216,7 +213,6 @@
             self.metrics,
             self.progress_view.record,
             self.repository.row_bytes,
-            self.pace,
         )
 
     async def run_accepted(self, holder: BatchHolder) -> None:
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -173,7 +173,7 @@
         operator_reader = OperatorReader(
             decode_operator_row,
             components.routes,
-            components.set_target_version,
+            components.order_controller.set_target_version,
         )
         server_reader = ServerReader(decode_server, components.directory)
         followers = [
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -14,7 +14,6 @@
     ItemScorer,
     LengthEstimate,
     ScoringQueue,
-    TrainerPace,
 )
 from ..batches.rows import PROGRESS_TABLE
 from ..fleet import DepartureNotingClient, ServerDirectory, ServerSelector
@@ -24,7 +23,7 @@
 from ..forwarding.strikes import CrashStrikes
 from ..interfaces import Clock, Metrics
 from ..interfaces.row_store import RowStore
-from ..interfaces.server_client import ModelVersion, ServerClient
+from ..interfaces.server_client import ServerClient
 from ..orders import OrderController, OrderLeases
 from ..orders.leases import TABLE as ORDERS_TABLE
 from ..routes import RouteTable
@@ -141,7 +140,6 @@
         self.progress_follower = self.make_follower(
             PROGRESS_TABLE, self.progress_view, partitioned=True
         )
-        self.trainer_pace = TrainerPace(clock)
         self.placement = ItemPlacement(self.directory, self.selector, clock)
         repository = BatchRepository(dependencies.store, row_bytes, self.store_time)
         self.batch_ownership = BatchOwnership(
@@ -165,17 +163,11 @@
             clock,
             metrics,
             self.bounds.result_retention_ms,
-            self.trainer_pace,
         )
         self.batch_service = BatchService(
             self.batch_ownership, self.routes, self.progress_view, repository, clock
         )
 
-    def set_target_version(self, named: ModelVersion) -> None:
-        """Apply a weight version that a trainer has named."""
-        self.trainer_pace.record_version(named)
-        self.order_controller.set_target_version(named)
-
     def make_follower(
         self,
         table: str,
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -152,7 +152,6 @@
         self.progress_view, self.batches = duties.progress_view, duties.batch_service
         self.ownership = duties.batch_ownership
         self.placement = duties.placement
-        self.set_target_version = duties.set_target_version
         self.routes.apply(world.configuration)
         self.tasks = [
             asyncio.create_task(run()) for run in duties.background_tasks().values()
