stand-ins: servers that say that they leave while the list calls them ready

Cause: the rule on leaving servers was tested without processes only; the soak's variant join_loosely did not take the new argument of read_events. Change: HttpServer.says_leaving puts the header on every response; the variant forget_departures goes by the list only. Test: test_site.TestLeavingServers: 0 requests, items, scoring requests and orders after the announcement; the variant is reported.

--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_servers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_servers.py
@@ -67,6 +67,8 @@
     fault : str
         ``""``, ``"reset"`` (runs the request and breaks the connection), ``"shed"``
         (refuses) or ``"cut"`` (ends the response early).
+    says_leaving : bool
+        Whether all its responses state that it leaves.
     lost_response_share : float
         Share, from 0 to 1, of plain requests that run and whose response is lost.
     """
@@ -85,6 +87,7 @@
     accepted_orders: int = 0
     loading: bool = False
     fault: str = ""
+    says_leaving: bool = False
     lost_response_share: float = 0.0
     random: Random = field(default_factory=lambda: Random(1))
 
@@ -95,11 +98,19 @@
     def build_app(self) -> web.Application:
         """Return the web application that serves this server's paths."""
         app = web.Application()
+        app.on_response_prepare.append(self.announce_departure)
         app.router.add_get("/api/report", self.handle_report)
         app.router.add_post("/api/order", self.handle_order)
         app.router.add_route("*", "/{path:.*}", self.handle_request)
         return app
 
+    async def announce_departure(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """State in a response that this server leaves, if it does."""
+        if self.says_leaving:
+            response.headers["Server-Leaving"] = "1"
+
     def registration_row(self, address: str, zone: str, state: str = "ready") -> bytes:
         """Return the value of the row with which the server registers in the store."""
         fields = {
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/broken.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/broken.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from ebonylb.batches import item_run, repository, rows
+from ebonylb.fleet import directory
 from ebonylb.forwarding import attempt, forwarder
 from ebonylb.orders import leases
 from ebonylb.service.site_main import main
@@ -63,8 +64,9 @@
 
     item_run.ItemRunner.open = open_from_start
 
-    async def read_events(self, server, state, need, response, version):
+    async def read_events(self, server, state, need, response, version, silence):
         async for event in response.events():
+            silence.record_event()
             state.events.append(event.data)
             state.versions.append(version or 1)
 
@@ -88,6 +90,11 @@
     item_run.ItemRunner.abandon = lambda self, state, reason: state.result()
 
 
+def forget_departures() -> None:
+    """Go by the list only, whatever servers say of their departure."""
+    directory.ServerDirectory.record_departure = lambda self, endpoint: None
+
+
 VARIANTS: dict[str, Callable[[], None]] = {
     function.__name__: function
     for function in (
@@ -98,6 +105,7 @@
         join_loosely,
         score_early,
         list_without_score,
+        forget_departures,
     )
 }
 
--- a/packages/ebonylb_standins/tests/test_site.py
+++ b/packages/ebonylb_standins/tests/test_site.py
@@ -10,7 +10,13 @@
 import pytest
 
 from ebonylb_standins.site.http_servers import event_text
-from ebonylb_standins.site.http_site import DESK, ENGINE, HttpSite, configuration
+from ebonylb_standins.site.http_site import (
+    DESK,
+    ENGINE,
+    PROGRAM,
+    HttpSite,
+    configuration,
+)
 
 TIMEOUT_S = 20.0
 
@@ -323,3 +329,42 @@
             assert b"Region is missing" in error
 
         asyncio.run(scenario())
+
+
+@pytest.mark.xdist_group("site")
+class TestLeavingServers:
+    """The servers' rows call them ready all the time."""
+
+    @staticmethod
+    async def send_after_departure(first_ip, program=PROGRAM):
+        """Return how many requests reached servers after they had said they leave."""
+        async with HttpSite(
+            first_ip=first_ip, entry_vms=1, engines=2, desks=2, program=program
+        ) as site:
+            (vm,) = site.vms.values()
+            engine, desk = site.servers["engine-0"], site.servers["desk-0"]
+            engine.says_leaving = desk.says_leaving = True
+            number = 0
+            while not (engine.arrivals and desk.arrivals):
+                number += 1
+                assert number < 50
+                await site.call(vm, "POST", "/ask/1", f"q{number}", b"x")
+                batch_id = f"first{number}"
+                assert await submit(site, vm, batch_id, [2] * 4, scored=True) == 202
+                await read_all(site, vm, batch_id, 4)
+            counts = len(engine.arrivals), len(desk.arrivals), len(engine.orders)
+            site.store.data.put("op", "version/m", b'{"Model":"m","Version":2}')
+            for number in range(20):
+                await site.call(vm, "POST", "/ask/1", f"later{number}", b"x")
+            assert await submit(site, vm, "later", [5] * 12, scored=True) == 202
+            await read_all(site, vm, "later", 12)
+            await asyncio.sleep(1.5)
+            after = len(engine.arrivals), len(desk.arrivals), len(engine.orders)
+            return sum(after) - sum(counts)
+
+    def test_they_get_nothing_new(self):
+        assert asyncio.run(self.send_after_departure(120)) == 0
+
+    def test_the_check_reports_a_broken_variant(self):
+        variant = ("-m", "ebonylb_standins.soak.broken", "forget_departures")
+        assert asyncio.run(self.send_after_departure(125, variant)) > 0
