--- a/packages/ebonylb_standins/src/ebonylb_standins/bench/site_steps.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/bench/site_steps.py
@@ -40,7 +40,7 @@
     async def acquire(self, need: ItemRequirements) -> ListedServer:
         """Wait for a server, ignoring due time, length, group and server to avoid."""
         return await super().acquire(
-            replace(need, due_ms=0.0, length_hint=0, group="", avoid=None)
+            replace(need, due_ms=0.0, remaining_events=0.0, group="", avoid=None)
         )
 
     def choose(
