limits: read, log and count the limits that servers name

Cause: the program reads Server-Limit nowhere, so its logs cannot tell whether a server got more than it named, from which entry VM, or why. No decision changes.

--- a/packages/ebonylb/src/ebonylb/interfaces/server_client.py
+++ b/packages/ebonylb/src/ebonylb/interfaces/server_client.py
@@ -118,6 +118,9 @@
         Weight version with which the response begins.
     leaving : bool
         Whether the server states that it leaves and takes no new work.
+    limit_per_s : float or None
+        Requests a second that the server accepts from all entry VMs together; None if
+        it names no limit.
     """
 
     status: int
@@ -128,6 +131,7 @@
     load: ServerLoad | None = None
     weight_version: int | None = None
     leaving: bool = False
+    limit_per_s: float | None = None
 
     @property
     def sealed(self) -> bool:
@@ -183,12 +187,15 @@
         Loaded weights.
     leaving : bool
         Whether the server states that it leaves and takes no new work.
+    limit_per_s : float or None
+        Limit as in `ResponseHead`.
     """
 
     busy: bool
     accepted_orders: int
     models: tuple[ModelVersion, ...] = field(default=())
     leaving: bool = False
+    limit_per_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -230,10 +237,13 @@
         HTTP status.
     leaving : bool
         Whether the server states that it leaves and takes no new work.
+    limit_per_s : float or None
+        Limit as in `ResponseHead`.
     """
 
     status: int
     leaving: bool = False
+    limit_per_s: float | None = None
 
 
 class ServerClient(ABC):
--- a/packages/ebonylb/src/ebonylb/platform/numbers.py
+++ b/packages/ebonylb/src/ebonylb/platform/numbers.py
@@ -17,6 +17,12 @@
     return int(text)
 
 
+def parse_rate(text: str | None) -> float | None:
+    """Return a non-negative number a second; None if it is missing or malformed."""
+    number = parse_milliseconds(text)
+    return number if number is not None and number >= 0 else None
+
+
 def parse_milliseconds(text: str | None) -> float | None:
     """Return a finite number; None if it is missing or malformed."""
     try:
--- a/packages/ebonylb/src/ebonylb/platform/servers.py
+++ b/packages/ebonylb/src/ebonylb/platform/servers.py
@@ -27,7 +27,7 @@
 from ..outcomes import StepError
 from . import wire_names
 from .event_stream import EventDecoder
-from .numbers import parse_count
+from .numbers import parse_count, parse_rate
 
 WRONG_SERVER_STATUS = 421
 # A reachable server accepts a connection within about 30 ms, also in other regions.
@@ -53,11 +53,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ControlResponse:
-    """Response to a control request, and whether its server states that it leaves."""
+    """Response to a control request, and what its server states about itself."""
 
     status: int
     body: bytes
     leaving: bool
+    limit_per_s: float | None
 
 
 def decode_load(text: str | None) -> ServerLoad | None:
@@ -90,6 +91,7 @@
         load=decode_load(headers.get(wire_names.SERVER_LOAD)),
         weight_version=parse_count(headers.get(wire_names.WEIGHT_VERSION)),
         leaving=says_leaving(headers),
+        limit_per_s=parse_rate(headers.get(wire_names.SERVER_LIMIT)),
     )
 
 
@@ -223,7 +225,15 @@
         except msgspec.MsgspecError as error:
             return Err(StepError("server.report", server.name, str(error)))
         models = tuple(ModelVersion(m.Name, m.Version) for m in report.Models)
-        return Ok(ServerReport(report.Busy, report.Sequence, models, response.leaving))
+        return Ok(
+            ServerReport(
+                report.Busy,
+                report.Sequence,
+                models,
+                response.leaving,
+                response.limit_per_s,
+            )
+        )
 
     async def send_order(
         self, server: ServerAddress, order: VersionOrder
@@ -248,7 +258,10 @@
         )
         if isinstance(response, Err):
             return response
-        return Ok(OrderResponse(response.ok_value.status, response.ok_value.leaving))
+        response = response.ok_value
+        return Ok(
+            OrderResponse(response.status, response.leaving, response.limit_per_s)
+        )
 
     async def send_control_request(
         self,
@@ -286,7 +299,8 @@
                     says_leaving(response.headers)
                     and response.status != WRONG_SERVER_STATUS
                 )
-                return Ok(ControlResponse(response.status, body, leaving))
+                limit_per_s = parse_rate(response.headers.get(wire_names.SERVER_LIMIT))
+                return Ok(ControlResponse(response.status, body, leaving, limit_per_s))
         except (aiohttp.ClientError, OSError, ValueError) as error:
             may_have_run = not isinstance(error, NOT_SENT_ERRORS)
             return Err(
--- a/packages/ebonylb/src/ebonylb/platform/wire_names.py
+++ b/packages/ebonylb/src/ebonylb/platform/wire_names.py
@@ -9,6 +9,8 @@
 # Sent with each response of a server that leaves; the name has no prefix.
 SERVER_LEAVING = "Server-Leaving"
 SERVER_LOAD = "Ebonylb-Server-Load"
+# Requests a second that the server accepts from all entry VMs together.
+SERVER_LIMIT = "Server-Limit"
 # In spite of the plural a single integer: the version with which the response begins.
 WEIGHT_VERSION = "Ebonylb-Weight-Versions"
 WAIT = "Ebonylb-Wait-Ms"
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -24,6 +24,7 @@
 from ..interfaces import Clock, Metrics
 from ..interfaces.row_store import RowStore
 from ..interfaces.server_client import ServerClient
+from ..limits import LimitNotingClient, LimitRegistry
 from ..orders import OrderController, OrderLeases
 from ..orders.leases import TABLE as ORDERS_TABLE
 from ..routes import RouteTable
@@ -96,8 +97,10 @@
         self.routes = RouteTable()
         self.directory = ServerDirectory(clock)
         self.selector = ServerSelector(self.directory, clock, identity.locality)
-        self.server_client = DepartureNotingClient(
-            dependencies.server_client, self.directory
+        self.limit_registry = LimitRegistry(clock)
+        self.server_client = LimitNotingClient(
+            DepartureNotingClient(dependencies.server_client, self.directory),
+            self.limit_registry,
         )
         self.strikes = CrashStrikes(dependencies.store, clock)
         self.forwarder = Forwarder(
