--- a/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
@@ -57,6 +57,10 @@
         refused.
     says_leaving : bool
         Whether all its responses state that it leaves.
+    limit_per_s : float or None
+        Limit that all its responses name; None for none.
+    arrivals_ms : list of float
+        Times at which requests, reports and orders arrived.
     """
 
     name: str
@@ -74,6 +78,8 @@
     queues: bool = False
     queue: list[ServerRequest] = field(default_factory=list)
     says_leaving: bool = False
+    limit_per_s: float | None = None
+    arrivals_ms: list[float] = field(default_factory=list)
 
 
 @dataclass
@@ -198,6 +204,7 @@
         if target.mode == "absent":
             return Err(StepError("open", server.name, "refused", False))
         target.received_requests.append(request)
+        target.arrivals_ms.append(self.clock.monotonic_ms())
         if target.mode == "dark":
             await self.clock.sleep_ms(3_600_000)
         planned = self.planned_responses.get(request.request_id, PlannedResponse())
@@ -212,6 +219,7 @@
                 not_run=True,
                 load=self.load_of(target),
                 leaving=target.says_leaving,
+                limit_per_s=target.limit_per_s,
             )
             return Ok(FakeServerResponse(self, target, request, planned, head))
         target.started_request_ids.append(request.request_id)
@@ -237,6 +245,7 @@
             load=self.load_of(target),
             weight_version=version,
             leaving=target.says_leaving,
+            limit_per_s=target.limit_per_s,
         )
         return Ok(FakeServerResponse(self, target, request, planned, head))
 
@@ -261,12 +270,17 @@
         """Return a server's state, or an error when it does not respond."""
         target = self.servers[server.name]
         self.report_count += 1
+        target.arrivals_ms.append(self.clock.monotonic_ms())
         if target.mode in ("dark", "absent"):
             await self.clock.sleep_ms(1_000)
             return Err(StepError("report", server.name, "no response"))
         models = tuple(ModelVersion(m, v) for m, v in target.versions.items())
         report = ServerReport(
-            bool(target.loading), target.accepted_orders, models, target.says_leaving
+            bool(target.loading),
+            target.accepted_orders,
+            models,
+            target.says_leaving,
+            target.limit_per_s,
         )
         return Ok(report)
 
@@ -276,7 +290,9 @@
         """Accept or refuse a weight order as the users' engines do."""
         target = self.servers[server.name]
         target.orders.append((self.clock.monotonic_ms(), order))
-        return Ok(OrderResponse(self.handle_order(target, order), target.says_leaving))
+        target.arrivals_ms.append(self.clock.monotonic_ms())
+        status = self.handle_order(target, order)
+        return Ok(OrderResponse(status, target.says_leaving, target.limit_per_s))
 
     def handle_order(self, target: FakeServer, order: VersionOrder) -> int:
         """Start a weight load, if it is allowed, and return the status."""
