stand-ins: a feed call ends at its deadline on virtual time

Cause: three of some 25 runs of test_limits.py on virtual time did not end; the stacks were in the loop of MemoryRowStore.changes, whose time-out fired again and again. A timer may fire up to the loop's resolution before its time, and a virtual clock that is not advanced then leaves a remaining time above 0. Suspected, not shown: 21 more runs of one scenario with a watchdog did not hang. Change: a time-out ends the wait whatever the clock says; the log is searched from the requested version on, not from its start. Measured: the tests of the package pass.

--- a/packages/ebonylb_standins/src/ebonylb_standins/site/row_store.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/row_store.py
@@ -1,6 +1,7 @@
 """In-memory store of versioned rows, with the faults of the platform's store."""
 
 import asyncio
+import bisect
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -229,11 +230,10 @@
                 return self.call_error(False)
             if after < self.data.history_start_version:
                 return Err(HistoryLostError("store", "memory", "dropped", False))
-            rows = [
-                row
-                for row in self.data.log
-                if row.version > after and row.row_key.table == table
-            ]
+            first = bisect.bisect_right(
+                self.data.log, after, key=lambda row: row.version
+            )
+            rows = [row for row in self.data.log[first:] if row.row_key.table == table]
             remaining_ms = deadline_ms - self.clock.monotonic_ms()
             if rows or remaining_ms <= 0:
                 return Ok(
@@ -243,4 +243,5 @@
                 async with asyncio.timeout(remaining_ms / 1000):
                     await self.data.changed.wait()
             except TimeoutError:
-                continue
+                # The virtual time may stop a rounding error before the deadline.
+                deadline_ms = self.clock.monotonic_ms()
