limits: servers get no more than the limit that they name, over all entry VMs

Callers and trainers saw nothing; servers in need got two to three times what they had asked for. Cause: no sender read Server-Limit, and a limit that each entry VM kept to by itself would still be multiplied by their number. Change: each slot of a limited server belongs to one entry VM, drawn by a hash from the server, the slot and the entry VMs with a demand, which are told in one row each of the store. Choice of plain servers and engines skips servers without room; orders and reports are always sent and paid for by the sharers' next slots. What no server may get is refused at once as not run. Without the store's confirmation all running entry VMs count as sharers.

--- a/packages/ebonylb/src/ebonylb/batches/placement.py
+++ b/packages/ebonylb/src/ebonylb/batches/placement.py
@@ -4,7 +4,7 @@
 import bisect
 import itertools
 import logging
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from dataclasses import dataclass, field, replace
 
 from ..fleet import ListedServer, ServerDirectory, ServerSelector
@@ -167,10 +167,15 @@
                 still_waiting.append(waiter)
                 continue
             self.directory.condition(server.name).own_requests += 1
+            self.selector.limits.reserve(server)
             if waiter.need.group:
                 self.remember_group(waiter.need.group, server.name)
             waiter.granted_server.set_result(server)
         self.waiters = still_waiting
+        if self.selector.limits.in_force:
+            self.selector.limits.record_waiting(
+                Counter(waiter.need.service for waiter in still_waiting)
+            )
         if still_waiting and self.timer is None:
             loop = asyncio.get_running_loop()
             self.timer = loop.call_later(RETRY_INTERVAL_MS / 1000, self.retry)
@@ -211,7 +216,7 @@
     def choose(
         self, need: ItemRequirements, forced: bool = False
     ) -> ListedServer | None:
-        """Return the cheapest server with a free slot, or None.
+        """Return the cheapest server with a free slot and room in its limit, or None.
 
         If forced, a server may also be slow, in backoff, avoided, loading weights, or
         full with items of others. Items of this entry VM never exceed its slots: they
@@ -229,6 +234,8 @@
                 continue
             if condition.own_requests >= server.slots:
                 continue
+            if not self.selector.limits.can_send(server):
+                continue
             if not forced:
                 if server.name == need.avoid or condition.is_backing_off(now):
                     continue
--- a/packages/ebonylb/src/ebonylb/fleet/__init__.py
+++ b/packages/ebonylb/src/ebonylb/fleet/__init__.py
@@ -5,10 +5,13 @@
 from .directory import ServerDirectory
 from .model import ListedServer, ServerStage
 from .selector import ServerSelector, distance_of
+from .sending_limits import NoSendingLimits, SendingLimits
 
 __all__ = [
     "DepartureNotingClient",
     "ListedServer",
+    "NoSendingLimits",
+    "SendingLimits",
     "ServerCondition",
     "ServerDirectory",
     "ServerSelector",
--- a/packages/ebonylb/src/ebonylb/fleet/selector.py
+++ b/packages/ebonylb/src/ebonylb/fleet/selector.py
@@ -8,6 +8,7 @@
 from ..interfaces import Clock
 from .directory import ServerDirectory
 from .model import ListedServer
+from .sending_limits import NoSendingLimits, SendingLimits
 
 # Round-trip times within a failure domain, within a region, and across regions. One-way
 # latencies of the sites are 0.2, 1.4 and 12 ms.
@@ -75,14 +76,21 @@
         Source of time.
     locality : Locality
         Location of this entry VM.
+    limits : SendingLimits or None
+        Limits on what may be sent to servers; None for none.
     """
 
     def __init__(
-        self, directory: ServerDirectory, clock: Clock, locality: Locality
+        self,
+        directory: ServerDirectory,
+        clock: Clock,
+        locality: Locality,
+        limits: SendingLimits | None = None,
     ) -> None:
         self.directory = directory
         self.clock = clock
         self.locality = locality
+        self.limits = limits or NoSendingLimits()
         self.median_gaps: dict[str, MedianGap] = {}
 
     def plain_cost_ms(self, server: ListedServer) -> float:
@@ -101,7 +109,7 @@
     def choose_plain(
         self, service: str, excluded: Iterable[str] = (), spare_slots: int = 0
     ) -> ListedServer | None:
-        """Return the cheapest server that is not excluded.
+        """Return the cheapest server that is not excluded and whose limit has room.
 
         Servers in backoff are used only if there is no other server; the one whose
         backoff ends first is then returned. Of the others, those that would keep
@@ -110,7 +118,9 @@
         now = self.clock.monotonic_ms()
         excluded = set(excluded)
         candidates = [
-            s for s in self.directory.ready(service) if s.name not in excluded
+            s
+            for s in self.directory.ready(service)
+            if s.name not in excluded and self.limits.can_send(s)
         ]
         available = [
             s
--- a/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
@@ -37,6 +37,8 @@
 RESPONSE_MARGIN_MS = 15.0
 RETRY_AFTER_MS = 300  # a server's queue advances within about this time
 NO_SERVER_RETRY_AFTER_MS = 1_000
+# Least delay of a retry after the servers' limits were reached.
+MIN_LIMIT_RETRY_AFTER_MS = 50
 # An entry VM without a configuration probably has one after this time.
 NOT_READY_RETRY_AFTER_MS = 500
 
@@ -161,13 +163,16 @@
         return state.deadline_at_ms - self.clock.monotonic_ms()
 
     def pick_server(self, state: RequestState) -> ListedServer | None:
-        """Return the cheapest server, untried ones first; None if there is none."""
+        """Return the cheapest server, untried ones first; None if there is none.
+
+        The request counts for the limit of the server, so that it must be sent.
+        """
         server = self.selector.choose_plain(
             state.service, state.tried_servers, state.spare_slots
-        )
-        return server or self.selector.choose_plain(
-            state.service, spare_slots=state.spare_slots
-        )
+        ) or self.selector.choose_plain(state.service, spare_slots=state.spare_slots)
+        if server is not None:
+            self.selector.limits.reserve(server)
+        return server
 
     def start_sending(
         self, state: RequestState, server: ListedServer
@@ -302,8 +307,21 @@
         )
 
     def refuse_no_server(self, state: RequestState) -> CallerResponse:
-        """Return the refusal of a request because no server is available."""
+        """Return the refusal of a request because no server is available.
+
+        Another entry VM may have a share of the limits left, so that the caller may
+        return as soon as the servers accept the next request.
+        """
         outcome = Outcome.MAY_HAVE_RUN if state.counted_attempts else Outcome.NOT_RUN
+        if self.directory.ready(state.service):
+            self.selector.limits.record_unmet(state.service)
+            retry_after_ms = self.selector.limits.retry_after_ms(state.service)
+            return make_refusal(
+                outcome,
+                "server_limit",
+                "the servers of this service accept no more requests now",
+                max(MIN_LIMIT_RETRY_AFTER_MS, round(retry_after_ms)),
+            )
         return make_refusal(
             outcome,
             "no_backend_server",
--- a/packages/ebonylb/src/ebonylb/forwarding/streams.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/streams.py
@@ -28,6 +28,10 @@
 # Callers disconnect after a silence of this many target latencies, or of the minimum.
 # A stream that no other server can continue ends no sooner.
 ABANDON_TIMEOUT_IN_TARGET_LATENCIES = 4.0
+# A broken stream waits this long for room in the limits of the other servers. The rest
+# of the time until its caller disconnects is for the first event.
+MAX_LIMIT_WAIT_MS = 1_000.0
+LIMIT_CHECK_INTERVAL_MS = 50.0
 MIN_ABANDON_TIMEOUT_MS = 2_000.0
 
 
@@ -44,6 +48,7 @@
     return any(
         server.name != state.sent_to[-1]
         and not directory.condition(server.name).is_backing_off(now)
+        and forwarder.selector.limits.can_send(server)
         for server in directory.ready(state.service)
     )
 
@@ -168,6 +173,24 @@
         server, response = await resume_stream(forwarder, state, last_number)
 
 
+async def pick_server_for_rest(
+    forwarder: "Forwarder", state: "RequestState"
+) -> ListedServer | None:
+    """Return a server for the rest of a stream, waiting for room in the limits."""
+    give_up_ms = forwarder.clock.monotonic_ms() + MAX_LIMIT_WAIT_MS
+    server = forwarder.pick_server(state)
+    if server is None:
+        forwarder.selector.limits.record_unmet(state.service)
+    while (
+        server is None
+        and forwarder.directory.ready(state.service)
+        and forwarder.clock.monotonic_ms() < give_up_ms
+    ):
+        await forwarder.clock.sleep_ms(LIMIT_CHECK_INTERVAL_MS)
+        server = forwarder.pick_server(state)
+    return server
+
+
 async def resume_stream(
     forwarder: "Forwarder", state: "RequestState", last_number: int
 ) -> tuple[ListedServer, ServerResponse]:
@@ -182,7 +205,7 @@
         state.counted_attempts < state.route.attempts
         and forwarder.remaining_ms(state) > 0
     ):
-        server = forwarder.pick_server(state)
+        server = await pick_server_for_rest(forwarder, state)
         if server is None:
             break
         state.tried_servers.add(server.name)
--- a/packages/ebonylb/src/ebonylb/limits/__init__.py
+++ b/packages/ebonylb/src/ebonylb/limits/__init__.py
@@ -1,6 +1,15 @@
-"""Request limits that backend servers name in their responses."""
+"""Request limits that backend servers name, shared by all entry VMs."""
 
+from .demand import ServiceDemand
+from .gate import LimitGate
 from .noting import LimitNotingClient
 from .registry import LimitRegistry
+from .shares import LimitShares
 
-__all__ = ["LimitNotingClient", "LimitRegistry"]
+__all__ = [
+    "LimitGate",
+    "LimitNotingClient",
+    "LimitRegistry",
+    "LimitShares",
+    "ServiceDemand",
+]
--- a/packages/ebonylb/src/ebonylb/limits/noting.py
+++ b/packages/ebonylb/src/ebonylb/limits/noting.py
@@ -12,6 +12,7 @@
     VersionOrder,
 )
 from ..outcomes import StepError
+from .gate import LimitGate
 from .registry import LimitRegistry
 
 
@@ -24,45 +25,57 @@
     ----------
     client : ServerClient
         Connections to the servers.
+    gate : LimitGate
+        Is charged for reports and orders. Requests are reserved by their senders.
     registry : LimitRegistry
         Registry to update.
     """
 
-    def __init__(self, client: ServerClient, registry: LimitRegistry) -> None:
+    def __init__(
+        self, client: ServerClient, gate: LimitGate, registry: LimitRegistry
+    ) -> None:
         self.client = client
+        self.gate = gate
         self.registry = registry
 
+    def record_sent(self, server: ServerAddress) -> float:
+        """Record that something is sent to a server and return the time."""
+        self.registry.record_sent(server)
+        return self.registry.clock.monotonic_ms()
+
     async def open(
         self, server: ServerAddress, request: ServerRequest
     ) -> Result[ServerResponse, StepError]:
         """Send a request and return its response once the head has arrived."""
-        self.registry.record_sent(server)
+        sent_ms = self.record_sent(server)
         opened = await self.client.open(server, request)
         if isinstance(opened, Ok):
             head = opened.ok_value.head
             # Another server at the address speaks for itself only.
             if not head.wrong_server:
-                self.registry.record(server, head.limit_per_s)
+                self.registry.record(server, head.limit_per_s, sent_ms)
         return opened
 
     async def read_report(
         self, server: ServerAddress
     ) -> Result[ServerReport, StepError]:
         """Read the state of a model server."""
-        self.registry.record_sent(server)
+        self.gate.charge(server)
+        sent_ms = self.record_sent(server)
         report = await self.client.read_report(server)
         if isinstance(report, Ok):
-            self.registry.record(server, report.ok_value.limit_per_s)
+            self.registry.record(server, report.ok_value.limit_per_s, sent_ms)
         return report
 
     async def send_order(
         self, server: ServerAddress, order: VersionOrder
     ) -> Result[OrderResponse, StepError]:
         """Send an order and return the response."""
-        self.registry.record_sent(server)
+        self.gate.charge(server)
+        sent_ms = self.record_sent(server)
         response = await self.client.send_order(server, order)
         if isinstance(response, Ok):
-            self.registry.record(server, response.ok_value.limit_per_s)
+            self.registry.record(server, response.ok_value.limit_per_s, sent_ms)
         return response
 
     async def is_reachable(self, server: ServerAddress) -> bool:
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -24,7 +24,14 @@
 from ..interfaces import Clock, Metrics
 from ..interfaces.row_store import RowStore
 from ..interfaces.server_client import ServerClient
-from ..limits import LimitNotingClient, LimitRegistry
+from ..limits import (
+    LimitGate,
+    LimitNotingClient,
+    LimitRegistry,
+    LimitShares,
+    ServiceDemand,
+)
+from ..limits.shares import TABLE as LIMITS_TABLE
 from ..orders import OrderController, OrderLeases
 from ..orders.leases import TABLE as ORDERS_TABLE
 from ..routes import RouteTable
@@ -96,10 +103,13 @@
         self.store_time = StoreTime(clock)
         self.routes = RouteTable()
         self.directory = ServerDirectory(clock)
-        self.selector = ServerSelector(self.directory, clock, identity.locality)
-        self.limit_registry = LimitRegistry(clock)
+        self.build_limits()
+        self.selector = ServerSelector(
+            self.directory, clock, identity.locality, self.limit_gate
+        )
         self.server_client = LimitNotingClient(
             DepartureNotingClient(dependencies.server_client, self.directory),
+            self.limit_gate,
             self.limit_registry,
         )
         self.strikes = CrashStrikes(dependencies.store, clock)
@@ -115,6 +125,29 @@
         self.build_orders()
         self.build_batches(row_bytes)
 
+    def build_limits(self) -> None:
+        """Build the gate for limited servers and what it shares with other VMs."""
+        store, clock = self.dependencies.store, self.dependencies.clock
+        self.limit_registry = LimitRegistry(clock, self.store_time)
+        self.limit_gate = LimitGate(
+            self.identity.name,
+            self.directory,
+            self.store_time,
+            self.limit_registry,
+            ServiceDemand(clock),
+        )
+        self.limit_shares = LimitShares(
+            self.identity.name,
+            self.identity.incarnation,
+            store,
+            clock,
+            self.store_time,
+            self.limit_registry,
+            self.limit_gate,
+        )
+        self.limit_gate.shares = self.limit_shares
+        self.limit_shares.follower = self.make_follower(LIMITS_TABLE, self.limit_shares)
+
     def build_orders(self) -> None:
         """Build the controller of weight orders and its leases."""
         dependencies = self.dependencies
@@ -194,11 +227,13 @@
         """Return the functions that run until the process ends, by name."""
         followers = (
             self.progress_follower,
+            self.limit_shares.follower,
             self.make_follower(ORDERS_TABLE, self.order_leases),
             self.make_follower(STRIKES_TABLE, self.strikes),
         )
         return {
             **{f"follow {follower.table}": follower.run for follower in followers},
+            "limits": self.limit_shares.run,
             "orders": self.order_controller.run,
             "batches": self.batch_ownership.watch,
             "missing servers": self.directory.drop_missing_periodically,
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
@@ -59,8 +59,6 @@
         Whether all its responses state that it leaves.
     limit_per_s : float or None
         Limit that all its responses name; None for none.
-    arrivals_ms : list of float
-        Times at which requests, reports and orders arrived.
     """
 
     name: str
@@ -79,7 +77,6 @@
     queue: list[ServerRequest] = field(default_factory=list)
     says_leaving: bool = False
     limit_per_s: float | None = None
-    arrivals_ms: list[float] = field(default_factory=list)
 
 
 @dataclass
@@ -204,7 +201,6 @@
         if target.mode == "absent":
             return Err(StepError("open", server.name, "refused", False))
         target.received_requests.append(request)
-        target.arrivals_ms.append(self.clock.monotonic_ms())
         if target.mode == "dark":
             await self.clock.sleep_ms(3_600_000)
         planned = self.planned_responses.get(request.request_id, PlannedResponse())
@@ -270,7 +266,6 @@
         """Return a server's state, or an error when it does not respond."""
         target = self.servers[server.name]
         self.report_count += 1
-        target.arrivals_ms.append(self.clock.monotonic_ms())
         if target.mode in ("dark", "absent"):
             await self.clock.sleep_ms(1_000)
             return Err(StepError("report", server.name, "no response"))
@@ -290,7 +285,6 @@
         """Accept or refuse a weight order as the users' engines do."""
         target = self.servers[server.name]
         target.orders.append((self.clock.monotonic_ms(), order))
-        target.arrivals_ms.append(self.clock.monotonic_ms())
         status = self.handle_order(target, order)
         return Ok(OrderResponse(status, target.says_leaving, target.limit_per_s))
 
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -32,6 +32,7 @@
 from ebonylb.service.site_settings import Bounds
 
 from ..histories.virtual_time import LoopClock
+from .recorded_port import RecordedPort
 from .row_store import MemoryRowStore, StoreData
 from .servers import FakeServer, FakeServers, PlannedResponse
 
@@ -133,16 +134,19 @@
     failure_domain: str
     incarnation: str
     store: MemoryRowStore = field(init=False)
+    port: RecordedPort = field(init=False)
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         """Build the services, start their tasks and list the servers."""
         world = self.world
+        self.port = RecordedPort(world.port, self.name, world.clock)
+        world.ports.append(self.port)
         self.store = MemoryRowStore(world.data, world.clock)
         locality = Locality(self.failure_domain, REGIONS[self.failure_domain], REGIONS)
         duties = SiteComponents(
             EntryVmIdentity(self.name, self.incarnation, locality),
-            SiteDependencies(self.store, world.port, world.clock, NullMetrics()),
+            SiteDependencies(self.store, self.port, world.clock, NullMetrics()),
             Bounds(lease_ms=world.lease_ms),
             65_536,
         )
@@ -152,6 +156,7 @@
         self.progress_view, self.batches = duties.progress_view, duties.batch_service
         self.ownership = duties.batch_ownership
         self.placement = duties.placement
+        self.registry, self.limits = duties.limit_registry, duties.limit_gate
         self.routes.apply(world.configuration)
         self.tasks = [
             asyncio.create_task(run()) for run in duties.background_tasks().values()
@@ -194,6 +199,7 @@
         self.configuration = site_configuration or configuration()
         self.lease_ms = lease_ms
         self.port = FakeServers(self.clock)
+        self.ports: list[RecordedPort] = []
         self.vms: dict[str, EntryVm] = {}
         self.services: dict[str, str] = {}
         domains = list(REGIONS)
