--- a/packages/ebonylb/src/ebonylb/batches/item_run.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_run.py
@@ -189,6 +189,7 @@
                 "succeeded": result.succeeded,
                 "events": len(state.events),
                 "versions": result.versions,
+                "software_versions": state.software_versions,
                 "servers": state.servers[-MAX_LOGGED_SERVERS:],
                 "tries": state.attempts,
                 "failures": state.failed_attempts,
@@ -407,8 +408,7 @@
                 raise StepError(
                     "item.version", server.name, "event has no weight version"
                 )
-            state.events.append(event.data)
-            state.versions.append(version or 0)
+            state.add_event(event.data, version or 0, server.software_version)
             if silence.has_events:
                 median_gap_ms = self.placement.selector.median_gap_ms(need.service)
                 condition.record_gap(now - last_event_ms, median_gap_ms, now)
--- a/packages/ebonylb/src/ebonylb/batches/item_state.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_state.py
@@ -33,6 +33,8 @@
         Total time spent waiting for a server.
     servers : list of str
         Name of the server of each attempt.
+    software_versions : list of str
+        Versions of the servers' software that made the events, without repetitions.
     """
 
     item: BatchItem
@@ -47,6 +49,7 @@
     attempts: int = 0
     waited_ms: float = 0.0
     servers: list[str] = field(default_factory=list)
+    software_versions: list[str] = field(default_factory=list)
 
     def restore(self, partial: Partial) -> None:
         """Replace the events by those of a checkpoint."""
@@ -64,8 +67,16 @@
         """Discard all received events."""
         self.events.clear()
         self.versions.clear()
+        self.software_versions.clear()
         self.stored_events = 0
 
+    def add_event(self, data: str, weight_version: int, software_version: str) -> None:
+        """Append an event and the versions of the weights and software that made it."""
+        self.events.append(data)
+        self.versions.append(weight_version)
+        if software_version not in self.software_versions:
+            self.software_versions.append(software_version)
+
     def mark_stored(self, events: int, complete: bool) -> None:
         """Record what checkpoints have stored."""
         self.stored_events = min(events, len(self.events))
--- a/packages/ebonylb/src/ebonylb/fleet/directory.py
+++ b/packages/ebonylb/src/ebonylb/fleet/directory.py
@@ -23,12 +23,11 @@
 
 def log_listed(servers: Sequence[ListedServer], restarted: bool) -> None:
     """Log new or changed servers, many names in one line."""
-    names_by_group: dict[tuple[str, ServerStage], list[str]] = {}
+    names_by_group: dict[tuple[str, ServerStage, str], list[str]] = {}
     for server in servers:
-        names_by_group.setdefault((server.service, server.stage), []).append(
-            server.name
-        )
-    for (service, stage), names in names_by_group.items():
+        group = (server.service, server.stage, server.software_version)
+        names_by_group.setdefault(group, []).append(server.name)
+    for (service, stage, software_version), names in names_by_group.items():
         for first in range(0, len(names), MAX_NAMES_PER_LOG_LINE):
             logger.info(
                 "backend servers listed",
@@ -36,6 +35,7 @@
                     "servers": names[first : first + MAX_NAMES_PER_LOG_LINE],
                     "service": service,
                     "stage": stage,
+                    "software_version": software_version,
                     "restarted": restarted,
                 },
             )
--- a/packages/ebonylb/src/ebonylb/fleet/model.py
+++ b/packages/ebonylb/src/ebonylb/fleet/model.py
@@ -38,6 +38,9 @@
     started_ms : int or None
         Unix time of the server's start, which differs between incarnations of one
         name.
+    software_version : str
+        Version of the server's software; versions have no order. A stream that began
+        on one version cannot be continued on another.
     """
 
     name: str
@@ -49,6 +52,7 @@
     cold_ms: float = 0
     models: tuple[ModelVersion, ...] = ()
     started_ms: int | None = None
+    software_version: str = ""
 
     @property
     def endpoint(self) -> ServerAddress:
--- a/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
@@ -454,6 +454,24 @@
             },
         )
 
+    def log_stream_end(
+        self, state: RequestState, last_number: int, complete: bool
+    ) -> None:
+        """Log which events of a stream were sent on and which software made them."""
+        logger.info(
+            "stream ended",
+            extra={
+                "request_id": state.request.request_id,
+                "resumes": state.request.resumes,
+                "service": state.service,
+                "first_event": (state.request.resume_after or 0) + 1,
+                "last_event": last_number,
+                "complete": complete,
+                "software_versions": state.software_versions,
+                "servers": state.sent_to,
+            },
+        )
+
     def log_end(
         self, state: RequestState, response: CallerResponse | CallerStream
     ) -> None:
--- a/packages/ebonylb/src/ebonylb/forwarding/messages.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/messages.py
@@ -21,6 +21,9 @@
         Time that the caller waits, counted from the arrival.
     resume_after : int or None
         Number of the last stream event that the caller has received.
+    resumes : str
+        Id of the caller's request that brought the first event of the stream that it
+        takes up; empty for a new stream.
     """
 
     request_id: str
@@ -33,6 +36,7 @@
     received_ms: float
     deadline_ms: float | None = None
     resume_after: int | None = None
+    resumes: str = ""
 
     def for_server(
         self, deadline_ms: float, resume_after: int | None = None
--- a/packages/ebonylb/src/ebonylb/forwarding/request_state.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/request_state.py
@@ -30,6 +30,9 @@
         Attempts that a server answered with an internal error.
     spare_slots : int
         Free slots that each server should keep for other requests.
+    software_versions : list of str
+        Versions of the servers' software that made the events of a stream, without
+        repetitions.
     """
 
     request: CallerRequest
@@ -44,3 +47,4 @@
     sent_to: list[str] = field(default_factory=list)
     internal_errors: int = 0
     spare_slots: int = 0
+    software_versions: list[str] = field(default_factory=list)
--- a/packages/ebonylb/src/ebonylb/forwarding/streams.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/streams.py
@@ -148,8 +148,11 @@
                         f"event {number} after {last_number}",
                     )
                 last_number = number
+                if server.software_version not in state.software_versions:
+                    state.software_versions.append(server.software_version)
                 yield block
             condition.record_success(forwarder.clock.monotonic_ms())
+            forwarder.log_stream_end(state, last_number, complete=True)
             return
         except StepError as error:
             condition.record_failure(forwarder.clock.monotonic_ms())
@@ -163,9 +166,11 @@
                 },
             )
             if not state.route.resumable:
+                forwarder.log_stream_end(state, last_number, complete=False)
                 raise
         except (asyncio.CancelledError, GeneratorExit):
             forwarder.log_abandoned(state)
+            forwarder.log_stream_end(state, last_number, complete=False)
             raise
         finally:
             condition.own_requests -= 1
@@ -220,4 +225,5 @@
             return server, response
         response.close()
         state.causes.append(f"{server.name}: status {response.head.status}")
+    forwarder.log_stream_end(state, last_number, complete=False)
     raise StepError("stream.resume", state.service, "no server continued the stream")
--- a/packages/ebonylb/src/ebonylb/platform/ingress.py
+++ b/packages/ebonylb/src/ebonylb/platform/ingress.py
@@ -202,6 +202,7 @@
             received_ms=received_ms,
             deadline_ms=parse_milliseconds(request.headers.get(wire_names.DEADLINE)),
             resume_after=parse_count(request.headers.get(wire_names.LAST_EVENT)),
+            resumes=request.headers.get(wire_names.RESUMES, ""),
         )
         route = self.forwarder.find_route(message)
         if isinstance(route, CallerResponse):
--- a/packages/ebonylb/src/ebonylb/platform/row_decoding.py
+++ b/packages/ebonylb/src/ebonylb/platform/row_decoding.py
@@ -125,15 +125,13 @@
 
 
 class WireServer(msgspec.Struct):
-    """Row that a backend server writes.
-
-    The row's `Version` field, which is not read, is the version of its software.
-    """
+    """Row that a backend server writes; `Version` is the version of its software."""
 
     Service: str
     Address: str
     Zone: str
     State: str
+    Version: str = ""
     Slots: int = 1
     ColdRemainingMs: float = 0
     Models: list["WireModelVersion"] = []
@@ -185,6 +183,7 @@
         cold_ms=wire.ColdRemainingMs,
         models=tuple(ModelVersion(m.Name, m.Version) for m in wire.Models),
         started_ms=wire.born,
+        software_version=wire.Version,
     )
 
 
--- a/packages/ebonylb/src/ebonylb/platform/wire_names.py
+++ b/packages/ebonylb/src/ebonylb/platform/wire_names.py
@@ -17,6 +17,8 @@
 LENGTH_HINT = "Ebonylb-Length-Hint"
 MODEL = "Ebonylb-Model"
 LAST_EVENT = "Last-Event-Id"
+# Id of the caller's attempt that brought the first event of the stream it takes up.
+RESUMES = "Resumes"
 RETRY_AFTER = "Retry-After"
 
 READY_PATH = "/api/ready"
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
@@ -57,6 +57,8 @@
         refused.
     says_leaving : bool
         Whether all its responses state that it leaves.
+    software_version : str
+        Version of its software, which the list shows.
     limit_per_s : float or None
         Limit that all its responses name; None for none.
     """
@@ -76,6 +78,7 @@
     queues: bool = False
     queue: list[ServerRequest] = field(default_factory=list)
     says_leaving: bool = False
+    software_version: str = "v1"
     limit_per_s: float | None = None
 
 
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -227,6 +227,7 @@
                 server.slots,
                 models=tuple(ModelVersion(m, v) for m, v in server.versions.items()),
                 started_ms=1,
+                software_version=server.software_version,
             )
             for number, server in enumerate(self.port.servers.values())
         ]
