--- /dev/null
+++ b/packages/ebonylb/tests/test_software_versions.py
@@ -0,0 +1,248 @@
+"""Tests of servers of several software versions side by side in one service.
+
+The load pattern: a release replaces part of a service's servers; runs of items are cut
+and moved, entry VMs end, and callers take their streams up again at other entry VMs.
+"""
+
+import asyncio
+import re
+
+import pytest
+
+from ebonylb.forwarding import CallerRequest
+from ebonylb.outcomes import Outcome, StepError
+from ebonylb_standins.histories.virtual_time import run_virtual
+from ebonylb_standins.site.servers import PlannedResponse
+from ebonylb_standins.site.world import World, read_all
+
+EVENTS = 30
+
+
+def versions_of(lines):
+    """Return the software versions that made the given event data."""
+    versions = set()
+    for line in lines:
+        match = re.search(r"@(\S+)", line)
+        versions.add(match[1] if match else "v1")
+    return versions
+
+
+def make_world(engine_versions=(), plain_versions=()):
+    """Return a site with one server for each version."""
+    world = World(len(engine_versions), len(plain_versions))
+    names = [f"e{n}" for n in range(len(engine_versions))]
+    names += [f"p{n}" for n in range(len(plain_versions))]
+    for name, version in zip(names, [*engine_versions, *plain_versions], strict=True):
+        world.port.servers[name].software_version = version
+    return world
+
+
+async def run_items(world, vm, events, disturb, items=8):
+    """Run a batch while `disturb` runs; return the results' texts as lines."""
+    await vm.batches.submit(world.batch("x", [events] * items))
+    disturbing = asyncio.create_task(disturb())
+    results = await read_all(world.vms["a"], "x", items, timeout_ms=60_000)
+    disturbing.cancel()
+    assert all(result.succeeded for result in results)
+    return [result.text.split("\n") for result in results]
+
+
+class TestItems:
+    # Guards against texts with events of two software versions.
+    def test_texts_hold_events_of_one_software_version(self):
+        async def scenario():
+            world = make_world(["v1", "v1", "v2", "v2"])
+            vm = world.start("a")
+            await world.clock.sleep_ms(500)
+
+            async def disturb():
+                engines = [world.port.servers[f"e{n}"] for n in range(4)]
+                while True:
+                    for engine in engines:
+                        await world.clock.sleep_ms(300)
+                        engine.mode = "resets"
+                        await world.clock.sleep_ms(50)
+                        engine.mode = "serves"
+
+            texts = await run_items(world, vm, EVENTS, disturb)
+            assert all(len(text) == EVENTS for text in texts)
+            assert {len(versions_of(text)) for text in texts} == {1}
+
+        run_virtual(scenario())
+
+    # Guards against texts that a new holder continues on another software version.
+    def test_a_new_holder_knows_the_version_of_stored_events(self):
+        async def scenario():
+            world = make_world(["v1", "v2"])
+            vm = world.start("a")
+            await world.clock.sleep_ms(500)
+            await vm.batches.submit(world.batch("x", [120] * 20, group_size=1))
+            await world.clock.sleep_ms(2_500)
+            other = world.start("b", "south")
+            await world.clock.sleep_ms(100)
+            vm.stop()
+            results = await read_all(other, "x", 20, timeout_ms=60_000)
+            texts = [result.text.split("\n") for result in results]
+            assert all(len(text) == 120 for text in texts)
+            assert {len(versions_of(text)) for text in texts} == {1}
+            assert any(
+                request.resume_after
+                for server in world.port.servers.values()
+                for request in server.received_requests
+            )
+
+        run_virtual(scenario())
+
+    def test_items_restart_when_no_server_of_their_version_is_left(self):
+        async def scenario():
+            world = make_world(["v1", "v2"])
+            vm = world.start("a")
+            await world.clock.sleep_ms(500)
+
+            async def disturb():
+                await world.clock.sleep_ms(400)
+                world.port.servers["e0"].mode = "absent"
+                vm.directory.remove("e0")
+
+            texts = await run_items(world, vm, EVENTS, disturb)
+            assert {frozenset(versions_of(text)) for text in texts} == {
+                frozenset({"v2"})
+            }
+
+        run_virtual(scenario())
+
+
+class Caller:
+    """Caller that reads one stream and takes it up at other entry VMs."""
+
+    def __init__(self, world, request_id):
+        self.world = world
+        self.request_id = request_id
+        self.tries = 0
+        self.events = []
+        world.port.planned_responses[request_id] = PlannedResponse(EVENTS)
+
+    async def read(self, vm, max_events=EVENTS, path="/chat/1"):
+        """Read up to a number of events through an entry VM; return the response."""
+        self.tries += 1
+        request_id = (
+            f"{self.request_id}-try{self.tries}" if self.events else (self.request_id)
+        )
+        self.world.port.planned_responses[request_id] = PlannedResponse(EVENTS)
+        request = CallerRequest(
+            request_id,
+            "POST",
+            "site",
+            path,
+            path,
+            (("Host", "site"),),
+            b"x",
+            self.world.clock.monotonic_ms(),
+            8_000.0,
+            resume_after=len(self.events) or None,
+            resumes=self.request_id if self.events else "",
+        )
+        response = await vm.forwarder.serve(request, vm.forwarder.find_route(request))
+        chunks = getattr(response, "chunks", None)
+        if chunks is None:
+            return response
+        try:
+            async for block in chunks:
+                self.events.append(block.decode())
+                if len(self.events) == max_events:
+                    break
+        except StepError:
+            pass
+        await chunks.aclose()
+        return response
+
+
+class TestStreams:
+    # Guards against streams with events of two software versions, in one response.
+    def test_a_broken_stream_continues_on_its_software_version(self):
+        async def scenario():
+            world = make_world(plain_versions=["v1", "v1", "v2", "v2", "v2"])
+            vm = world.start("a")
+            await world.clock.sleep_ms(500)
+            complete = 0
+            for number in range(12):
+                caller = Caller(world, f"q{number}")
+                reading = asyncio.create_task(caller.read(vm))
+                await world.clock.sleep_ms(400)
+                (used,) = [s for s in world.port.servers.values() if s.running]
+                used.mode = "resets"
+                await world.clock.sleep_ms(50)
+                used.mode = "serves"
+                await reading
+                assert len(versions_of(caller.events)) == 1
+                complete += len(caller.events) == EVENTS
+            assert complete >= 10
+
+        run_virtual(scenario())
+
+    # Guards against streams with events of two software versions over a caller's tries.
+    @pytest.mark.parametrize("entry_vm_ends", [False, True])
+    def test_a_stream_taken_up_elsewhere_stays_on_its_version(self, entry_vm_ends):
+        async def scenario():
+            world = make_world(plain_versions=["v1", "v1", "v2", "v2"])
+            vms = [world.start(name) for name in ("a", "b", "c")]
+            await world.clock.sleep_ms(500)
+            callers = [Caller(world, f"q{number}") for number in range(24)]
+            await asyncio.gather(*(caller.read(vms[0], 10) for caller in callers))
+            assert len({*versions_of(e for c in callers for e in c.events)}) == 2
+            if entry_vm_ends:
+                vms[0].stop()
+                await world.clock.sleep_ms(200)
+            for caller in callers:
+                await caller.read(vms[1], 20)
+            for caller in callers:
+                await caller.read(vms[2])
+            assert {len(versions_of(caller.events)) for caller in callers} == {1}
+            complete = [c for c in callers if len(c.events) == EVENTS]
+            assert len(complete) >= len(callers) / 2
+
+        run_virtual(scenario())
+
+    def test_a_stream_that_began_before_the_release_stays_on_its_version(self):
+        async def scenario():
+            world = make_world(plain_versions=["v1", "v1"])
+            vms = [world.start(name) for name in ("a", "b")]
+            await world.clock.sleep_ms(500)
+            callers = [Caller(world, f"q{number}") for number in range(8)]
+            await asyncio.gather(*(caller.read(vms[0], 10) for caller in callers))
+            for name in ("p2", "p3", "p4"):
+                world.add_server(name, "desk", 6, "north")
+                world.port.servers[name].software_version = "v2"
+            for vm in vms:
+                vm.refresh()
+            await world.clock.sleep_ms(300)
+            for caller in callers:
+                await caller.read(vms[1])
+            assert versions_of(e for c in callers for e in c.events) == {"v1"}
+            assert {len(caller.events) for caller in callers} == {EVENTS}
+
+        run_virtual(scenario())
+
+    def test_it_is_refused_at_once_when_no_server_of_its_version_is_left(self):
+        async def scenario():
+            world = make_world(plain_versions=["v1", "v2"])
+            vms = [world.start(name) for name in ("a", "b")]
+            await world.clock.sleep_ms(500)
+            callers = [Caller(world, f"q{number}") for number in range(6)]
+            await asyncio.gather(*(caller.read(vms[0], 10) for caller in callers))
+            vms[1].directory.remove("p0")
+            refused = 0
+            for caller in callers:
+                began_ms = world.clock.monotonic_ms()
+                response = await caller.read(vms[1])
+                if versions_of(caller.events) == {"v1"}:
+                    refused += 1
+                    assert world.clock.monotonic_ms() - began_ms < 50
+                    assert response.refusal.reason == "other_software_version"
+                    assert response.refusal.outcome is Outcome.NOT_RUN
+                else:
+                    assert versions_of(caller.events) == {"v2"}
+                    assert len(caller.events) == EVENTS
+            assert refused
+
+        run_virtual(scenario())
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
@@ -58,7 +58,8 @@
     says_leaving : bool
         Whether all its responses state that it leaves.
     software_version : str
-        Version of its software, which the list shows.
+        Version of its software, which the list shows. Events of versions other than
+        ``"v1"`` name it in their data.
     limit_per_s : float or None
         Limit that all its responses name; None for none.
     """
@@ -149,15 +150,16 @@
             current = self.server.versions.get(model, 0)
             changed = current if current != version else None
             version = current
-            yield StreamEvent(
-                number, event_data(self.request.request_id, number), changed
-            )
+            data = event_data(self.request.request_id, number)
+            if self.server.software_version != "v1":
+                data += f"@{self.server.software_version}"
+            yield StreamEvent(number, data, changed)
         self.close()
 
     async def raw_events(self) -> AsyncIterator[tuple[int, bytes]]:
         """Yield the remaining events as numbered bytes."""
         async for event in self.events():
-            yield event.number, f"id: {event.number}\n\n".encode()
+            yield event.number, f"id: {event.number}\ndata: {event.data}\n\n".encode()
 
     def close(self) -> None:
         """Free the slot if it is held."""
