batches: a text continues only on the software version that began it

Trainers got texts whose parts came from two software versions, which do not fit together. Cause: the choice of the server for the rest of a text knew weight versions only, and stored parts named no software version, so that a new holder could not know it either. Change: a part names its version in the item's state and in its stored rows; a server of another one is never sent the rest. Rows that name none (of earlier programs) are not continued, nor joined with rows of another version. An item restarts when no server of its version is listed, or once it has waited as long as its events would take again; it goes back to a server that it left if that is the only one of its version.

--- a/packages/ebonylb/src/ebonylb/batches/holder.py
+++ b/packages/ebonylb/src/ebonylb/batches/holder.py
@@ -113,7 +113,7 @@
         for result in results:
             self.item_states.pop(result.item_id, None)
         for item_id, partial in partials.items():
-            if item_id in self.item_states and self.can_use_versions(partial.versions):
+            if item_id in self.item_states and self.can_use(partial):
                 self.item_states[item_id].restore(partial)
 
     def reuse_output(
@@ -131,7 +131,7 @@
                 reused_items += 1
         for item_id, partial in partials.items():
             state = self.item_states.get(item_id)
-            if state and partial.events and self.can_use_versions(partial.versions):
+            if state and partial.events and self.can_use(partial):
                 state.restore(partial)
                 # The new batch has no checkpoint of its own yet.
                 state.mark_stored(0, False)
@@ -150,6 +150,10 @@
         self.item_states.pop(result.item_id)
         self.pending_results.append(result)
 
+    def can_use(self, partial: Partial) -> bool:
+        """Return whether an item of the batch may begin with stored events."""
+        return partial.can_continue and self.can_use_versions(partial.versions)
+
     def can_use_versions(self, versions: tuple[int, ...]) -> bool:
         """Return whether the batch may contain text of these weight versions."""
         distinct = set(versions)
@@ -322,6 +326,7 @@
                 state.events[state.stored_events : count],
                 state.versions[state.stored_events : count],
                 state.complete,
+                state.software_version,
             )
             size += len(put.value)
             if len(put.value) > self.row_bytes or size > MAX_COMMIT_BYTES:
--- a/packages/ebonylb/src/ebonylb/batches/item_run.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_run.py
@@ -77,8 +77,9 @@
     ) -> ItemRequirements:
         """Return the requirements of an item for its next server.
 
-        On a route with a single version, received events require their version. If no
-        server has it any more, the events are discarded.
+        Received events require the software version that made them, and on a route with
+        a single weight version also that. If no server has it any more, the events are
+        discarded.
         """
         item = state.item
         service = choose_target(route, item.item_id).service
@@ -90,13 +91,33 @@
             min_version=header.min_version,
             group=item.group,
         )
+        if state.software_version is not None:
+            if self.placement.has_software_version(service, state.software_version):
+                need.software_version = state.software_version
+                need.received_events = len(state.events)
+            else:
+                self.restart(state, "no server has its software version any more")
         if route.single_version and state.versions:
             need.exact_version = state.versions[0]
             if not self.placement.can_serve(need):
                 state.restart()
-                need.exact_version = None
+                need.exact_version = need.software_version = None
         return need
 
+    def restart(self, state: ItemState, reason: str) -> None:
+        """Discard the received events of an item, which cannot be continued."""
+        self.metrics.incr("batch.restarts")
+        logger.info(
+            "item restarted",
+            extra={
+                "item": state.item.item_id,
+                "events": len(state.events),
+                "software_versions": list(state.software_versions),
+                "why": reason,
+            },
+        )
+        state.restart()
+
     async def run(
         self,
         state: ItemState,
@@ -145,7 +166,10 @@
             if self.clock.monotonic_ms() >= abandon_at_ms and state.attempts:
                 return self.abandon(state, "retention is over")
             need = self.requirements_of(state, header, route, due_ms)
-            need.avoid = avoid
+            if need.software_version is None or self.placement.has_software_version(
+                need.service, need.software_version, besides=avoid
+            ):
+                need.avoid = avoid
             queued_ms = self.clock.monotonic_ms()
             server = await self.placement.acquire(need)
             state.waited_ms += self.clock.monotonic_ms() - queued_ms
@@ -247,6 +271,8 @@
         RunMovedError
             If the server is too slow and another one would be faster.
         """
+        if state.events and server.software_version != state.software_version:
+            self.restart(state, "a server of another software version was free first")
         silence = RunSilence(self.placement, self.directory, self.clock, server, need)
         async with silence.limit("item.open"):
             response = await self.open(server, state)
@@ -409,6 +435,7 @@
                     "item.version", server.name, "event has no weight version"
                 )
             state.add_event(event.data, version or 0, server.software_version)
+            need.software_version = state.software_version
             if silence.has_events:
                 median_gap_ms = self.placement.selector.median_gap_ms(need.service)
                 condition.record_gap(now - last_event_ms, median_gap_ms, now)
--- a/packages/ebonylb/src/ebonylb/batches/item_state.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_state.py
@@ -56,6 +56,8 @@
         self.events = list(partial.events)
         self.versions = list(partial.versions)
         self.complete = partial.complete
+        if partial.events and partial.software_version is not None:
+            self.software_versions = [partial.software_version]
         self.mark_stored(len(self.events), self.complete)
 
     def restore_text(self, result: ItemResult) -> None:
@@ -70,6 +72,11 @@
         self.software_versions.clear()
         self.stored_events = 0
 
+    @property
+    def software_version(self) -> str | None:
+        """Version of the servers' software that began the text; None before that."""
+        return self.software_versions[0] if self.software_versions else None
+
     def add_event(self, data: str, weight_version: int, software_version: str) -> None:
         """Append an event and the versions of the weights and software that made it."""
         self.events.append(data)
--- a/packages/ebonylb/src/ebonylb/batches/model.py
+++ b/packages/ebonylb/src/ebonylb/batches/model.py
@@ -187,11 +187,19 @@
         Weight version of each event.
     complete : bool
         Whether these are all events, so that only the score is missing.
+    software_version : str or None
+        Version of the servers' software that made the events; None if unknown.
     """
 
     events: tuple[str, ...] = ()
     versions: tuple[int, ...] = ()
     complete: bool = False
+    software_version: str | None = None
+
+    @property
+    def can_continue(self) -> bool:
+        """Whether the rest of the text may follow these events, if any is missing."""
+        return self.complete or self.software_version is not None
 
     def extended(
         self, events: tuple[str, ...], versions: tuple[int, ...], complete: bool = False
--- a/packages/ebonylb/src/ebonylb/batches/placement.py
+++ b/packages/ebonylb/src/ebonylb/batches/placement.py
@@ -51,6 +51,10 @@
         ready in time goes first.
     min_version, exact_version : int or None
         Minimum weight version, and the only one allowed if not None.
+    software_version : str or None
+        Only version of the server's software allowed, if not None.
+    received_events : int
+        Number of events that only servers of this software version can continue.
     group : str
         Group of items with the same prompt.
     avoid : str or None
@@ -63,6 +67,8 @@
     remaining_events: float = 0.0
     min_version: int = 0
     exact_version: int | None = None
+    software_version: str | None = None
+    received_events: int = 0
     group: str = ""
     avoid: str | None = None
 
@@ -73,6 +79,7 @@
             self.model,
             self.min_version,
             self.exact_version,
+            self.software_version,
             self.avoid,
         )
 
@@ -158,6 +165,8 @@
             if waiter.granted_server.cancelled():
                 continue
             forced = now - waiter.queued_ms > FORCE_AFTER_MS
+            if self.is_restart_faster(waiter, now):
+                waiter.need.software_version = None
             criteria = (forced, *waiter.need.server_criteria())
             server = (
                 None if criteria in unmet_criteria else self.choose(waiter.need, forced)
@@ -180,6 +189,17 @@
             loop = asyncio.get_running_loop()
             self.timer = loop.call_later(RETRY_INTERVAL_MS / 1000, self.retry)
 
+    def is_restart_faster(self, waiter: Waiter, now_ms: float) -> bool:
+        """Return whether an item has waited for its software version for too long.
+
+        That is the time in which another server would have made its events again.
+        """
+        need = waiter.need
+        if need.software_version is None:
+            return False
+        median_gap_ms = self.selector.median_gap_ms(need.service)
+        return now_ms - waiter.queued_ms > need.received_events * median_gap_ms
+
     def retry(self) -> None:
         """Retry the waiting items when the timer fires."""
         self.timer = None
@@ -195,11 +215,13 @@
     def fits(
         self, server: ListedServer, need: ItemRequirements, forced: bool = False
     ) -> bool:
-        """Return whether a server has a weight version that may generate the item.
+        """Return whether a server's software and weights may generate the item.
 
-        If forced, an item started with one version may restart with another: all
+        If forced, an item started with one weight version may restart with another: all
         servers that had its version may have replaced it meanwhile.
         """
+        if need.software_version not in (None, server.software_version):
+            return False
         if not need.model:
             return True
         version = self.directory.version_of(server, need.model)
@@ -207,6 +229,15 @@
             return version == need.exact_version
         return version >= need.min_version
 
+    def has_software_version(
+        self, service: str, software_version: str, besides: str | None = None
+    ) -> bool:
+        """Return whether any ready server, besides one, has a software version."""
+        return any(
+            server.software_version == software_version and server.name != besides
+            for server in self.directory.ready(service)
+        )
+
     def can_serve(self, need: ItemRequirements) -> bool:
         """Return whether any ready server has a weight version for the item."""
         return any(
--- a/packages/ebonylb/src/ebonylb/batches/rows.py
+++ b/packages/ebonylb/src/ebonylb/batches/rows.py
@@ -30,12 +30,17 @@
 
 
 class PartialRow(msgspec.Struct, frozen=True, array_like=True):
-    """Stored events of an unfinished item; `first_event` is counted from 0."""
+    """Stored events of an unfinished item; `first_event` is counted from 0.
+
+    `software_version` is that of the servers that made the events. Rows of earlier
+    versions of this program name none.
+    """
 
     first_event: int
     events: list[str]
     versions: list[int]
     complete: bool = False
+    software_version: str | None = None
 
 
 partial_decoder = msgspec.msgpack.Decoder(PartialRow)
@@ -157,6 +162,7 @@
     events: Sequence[str],
     versions: Sequence[int],
     complete: bool = False,
+    software_version: str | None = None,
 ) -> Put:
     """Return the write of further events of an unfinished item.
 
@@ -165,7 +171,11 @@
     """
     return Put(
         batch_row_key(PARTIALS_TABLE, batch_id, f"{item_id}.{first_event:06d}"),
-        encoder.encode(PartialRow(first_event, list(events), list(versions), complete)),
+        encoder.encode(
+            PartialRow(
+                first_event, list(events), list(versions), complete, software_version
+            )
+        ),
     )
 
 
@@ -173,14 +183,20 @@
     """Decode the unfinished items of a batch, up to the first gap in their events.
 
     Several holders may have stored events of one item. A row that does not begin where
-    the preceding events end is ignored.
+    the preceding events end is ignored, and so is one of another software version: its
+    item was restarted, and its text does not continue these events.
     """
     partials: dict[str, Partial] = {}
     for row in rows:
         item_id = row.row_key.key.partition("/")[2].rpartition(".")[0]
         stored = partial_decoder.decode(row.value)
-        partial = partials.get(item_id, Partial())
-        if stored.first_event == len(partial.events):
+        partial = partials.get(
+            item_id, Partial(software_version=stored.software_version)
+        )
+        if (
+            stored.first_event == len(partial.events)
+            and stored.software_version == partial.software_version
+        ):
             partials[item_id] = partial.extended(
                 tuple(stored.events), tuple(stored.versions), stored.complete
             )
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/order_rule.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/order_rule.py
@@ -22,7 +22,7 @@
     Parameters
     ----------
     stream : str
-        Id of the item, or of the caller's request that brought the first event.
+        Text of an item, or id of the caller's request that brought the first event.
     """
 
     stream: str
@@ -51,7 +51,9 @@
             continue
         versions = tuple(record.get("software_versions") or ())
         if record.get("message") == "item ended":
-            yield StreamPart(record["item"], versions)
+            # A trainer may ask for the same item in a later step: a text of its own.
+            text = (record["item"], record["batch"], record["entry_vm"])
+            yield StreamPart("/".join(text), versions)
         elif record.get("message") == "stream ended":
             yield StreamPart(record["resumes"] or record["request_id"], versions)
 
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
@@ -159,7 +159,8 @@
     async def raw_events(self) -> AsyncIterator[tuple[int, bytes]]:
         """Yield the remaining events as numbered bytes."""
         async for event in self.events():
-            yield event.number, f"id: {event.number}\ndata: {event.data}\n\n".encode()
+            data = f"data: {event.data}\n" if "@" in event.data else ""
+            yield event.number, f"id: {event.number}\n{data}\n".encode()
 
     def close(self) -> None:
         """Free the slot if it is held."""
