forwarding: a stream continues only on the software version that began it

Callers got streams whose parts came from two software versions, in one response after a cut, or over their tries at several entry VMs. Cause: the choice of a server for the rest of a stream did not know the version, and nothing told another entry VM which one it was. Change: a stream is bound to the version of its first event. While a service has several versions, that version is stored before the event is sent on, and streams in progress when a second one is listed; the entry VM that takes a stream up reads it by the id in Resumes. A stream without a row began on the version that was alone. Refused at once: a stream whose version no server has, or that cannot be known without the store. Why it works: whatever reached a caller while versions are mixed is stored, or began on the one version that needs no row.

--- a/packages/ebonylb/src/ebonylb/batches/item_run.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_run.py
@@ -92,7 +92,7 @@
             group=item.group,
         )
         if state.software_version is not None:
-            if self.placement.has_software_version(service, state.software_version):
+            if self.directory.has_ready_version(service, state.software_version):
                 need.software_version = state.software_version
                 need.received_events = len(state.events)
             else:
@@ -166,7 +166,7 @@
             if self.clock.monotonic_ms() >= abandon_at_ms and state.attempts:
                 return self.abandon(state, "retention is over")
             need = self.requirements_of(state, header, route, due_ms)
-            if need.software_version is None or self.placement.has_software_version(
+            if need.software_version is None or self.directory.has_ready_version(
                 need.service, need.software_version, besides=avoid
             ):
                 need.avoid = avoid
--- a/packages/ebonylb/src/ebonylb/batches/placement.py
+++ b/packages/ebonylb/src/ebonylb/batches/placement.py
@@ -229,15 +229,6 @@
             return version == need.exact_version
         return version >= need.min_version
 
-    def has_software_version(
-        self, service: str, software_version: str, besides: str | None = None
-    ) -> bool:
-        """Return whether any ready server, besides one, has a software version."""
-        return any(
-            server.software_version == software_version and server.name != besides
-            for server in self.directory.ready(service)
-        )
-
     def can_serve(self, need: ItemRequirements) -> bool:
         """Return whether any ready server has a weight version for the item."""
         return any(
--- a/packages/ebonylb/src/ebonylb/fleet/directory.py
+++ b/packages/ebonylb/src/ebonylb/fleet/directory.py
@@ -9,6 +9,7 @@
 from .condition import ServerCondition
 from .departures import Departures
 from .model import ListedServer, ServerStage
+from .software_versions import SoftwareVersions
 
 logger = logging.getLogger(__name__)
 
@@ -62,6 +63,7 @@
         self.list_recovered_ms = -1e12
         self.ready_by_service: dict[str, list[ListedServer]] = {}
         self.departures = Departures()
+        self.software_versions = SoftwareVersions(clock)
         self.listeners: list[Callable[[], None]] = []
 
     def subscribe(self, listener: Callable[[], None]) -> None:
@@ -107,6 +109,7 @@
         elif previous is not None and (restarted or previous.stage is not server.stage):
             log_listed([server], restarted)
         self.servers[server.name] = server
+        self.software_versions.replace(previous, server)
         self.ready_by_service.clear()
         if notify:
             self.notify()
@@ -142,7 +145,7 @@
 
     def discard(self, name: str) -> None:
         """Delete a server and its condition without a notification."""
-        self.servers.pop(name, None)
+        self.software_versions.replace(self.servers.pop(name, None), None)
         self.ready_by_service.clear()
         self.conditions.pop(name, None)
         self.missing_since_ms.pop(name, None)
@@ -199,6 +202,19 @@
             ]
         return ready_servers
 
+    def has_ready_version(
+        self, service: str, software_version: str, besides: str | None = None
+    ) -> bool:
+        """Return whether any ready server, besides one, has a software version."""
+        return any(
+            server.software_version == software_version and server.name != besides
+            for server in self.ready(service)
+        )
+
+    def has_several_versions(self, service: str) -> bool:
+        """Return whether a service has, or had, servers of several versions."""
+        return self.software_versions.has_several(service)
+
     def is_ready(self, server: ListedServer) -> bool:
         """Return whether this incarnation of a server takes new work."""
         listed = self.servers.get(server.name)
--- a/packages/ebonylb/src/ebonylb/fleet/selector.py
+++ b/packages/ebonylb/src/ebonylb/fleet/selector.py
@@ -107,10 +107,16 @@
         )
 
     def choose_plain(
-        self, service: str, excluded: Iterable[str] = (), spare_slots: int = 0
+        self,
+        service: str,
+        excluded: Iterable[str] = (),
+        spare_slots: int = 0,
+        software_version: str | None = None,
     ) -> ListedServer | None:
         """Return the cheapest server that is not excluded and whose limit has room.
 
+        If `software_version` is not None, only servers of that version are considered.
+
         Servers in backoff are used only if there is no other server; the one whose
         backoff ends first is then returned. Of the others, those that would keep
         `spare_slots` free slots are preferred.
@@ -120,7 +126,9 @@
         candidates = [
             s
             for s in self.directory.ready(service)
-            if s.name not in excluded and self.limits.can_send(s)
+            if s.name not in excluded
+            and software_version in (None, s.software_version)
+            and self.limits.can_send(s)
         ]
         available = [
             s
--- a/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
@@ -19,6 +19,7 @@
 )
 from .messages import CallerRequest, CallerResponse, CallerStream, make_refusal
 from .request_state import RequestState
+from .stream_origins import StreamOrigins
 from .streams import open_with_timeout, relay_stream
 from .strikes import CrashStrikes, request_fingerprint
 
@@ -58,6 +59,8 @@
         Connections to servers.
     strikes : CrashStrikes
         Requests that crashed servers.
+    origins : StreamOrigins
+        Software versions on which streams began.
     clock : Clock
         Source of time.
     metrics : Metrics
@@ -71,6 +74,7 @@
         selector: ServerSelector,
         server_client: ServerClient,
         strikes: CrashStrikes,
+        origins: StreamOrigins,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -79,6 +83,7 @@
         self.selector = selector
         self.server_client = server_client
         self.strikes = strikes
+        self.origins = origins
         self.clock = clock
         self.metrics = metrics
 
@@ -168,8 +173,15 @@
         The request counts for the limit of the server, so that it must be sent.
         """
         server = self.selector.choose_plain(
-            state.service, state.tried_servers, state.spare_slots
-        ) or self.selector.choose_plain(state.service, spare_slots=state.spare_slots)
+            state.service,
+            state.tried_servers,
+            state.spare_slots,
+            state.software_version,
+        ) or self.selector.choose_plain(
+            state.service,
+            spare_slots=state.spare_slots,
+            software_version=state.software_version,
+        )
         if server is not None:
             self.selector.limits.reserve(server)
         return server
@@ -313,6 +325,13 @@
         return as soon as the servers accept the next request.
         """
         outcome = Outcome.MAY_HAVE_RUN if state.counted_attempts else Outcome.NOT_RUN
+        if state.software_version is not None and not self.has_server(state):
+            return make_refusal(
+                outcome,
+                "other_software_version",
+                "no server has the software version on which the stream began",
+                NO_SERVER_RETRY_AFTER_MS,
+            )
         if self.directory.ready(state.service):
             self.selector.limits.record_unmet(state.service)
             retry_after_ms = self.selector.limits.retry_after_ms(state.service)
@@ -350,8 +369,44 @@
             state.counted_attempts -= 1
             state.refused_attempts += 1
 
+    def has_server(self, state: RequestState) -> bool:
+        """Return whether any server may run a request, busy or not."""
+        if state.software_version is None:
+            return bool(self.directory.ready(state.service))
+        return self.directory.has_ready_version(state.service, state.software_version)
+
+    async def choose_software_version(
+        self, state: RequestState
+    ) -> CallerResponse | None:
+        """Set the software version on which a stream must run.
+
+        Returns
+        -------
+        CallerResponse or None
+            Refusal of a stream that began on a version that is not known.
+        """
+        request, service = state.request, state.service
+        if not request.resume_after:
+            state.software_version = self.origins.version_for_new_stream(service)
+            return None
+        if not request.resumes and not self.directory.has_several_versions(service):
+            return None
+        state.software_version = await self.origins.find(request.resumes, service)
+        if state.software_version is not None:
+            return None
+        if not self.directory.has_several_versions(service):
+            return None
+        return make_refusal(
+            Outcome.NOT_RUN,
+            "unknown_software_version",
+            "the software version on which the stream began is not known here",
+            NO_SERVER_RETRY_AFTER_MS,
+        )
+
     async def open_stream(self, state: RequestState) -> CallerResponse | CallerStream:
         """Open a stream; the deadline applies only until the response head arrives."""
+        if refusal := await self.choose_software_version(state):
+            return refusal
         while True:
             if state.refused_attempts >= MAX_REFUSED_ATTEMPTS:
                 return self.refuse_overloaded(state)
--- a/packages/ebonylb/src/ebonylb/forwarding/request_state.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/request_state.py
@@ -30,6 +30,9 @@
         Attempts that a server answered with an internal error.
     spare_slots : int
         Free slots that each server should keep for other requests.
+    software_version : str or None
+        Only version of the servers' software on which the stream may go on; None for
+        any.
     software_versions : list of str
         Versions of the servers' software that made the events of a stream, without
         repetitions.
@@ -47,4 +50,10 @@
     sent_to: list[str] = field(default_factory=list)
     internal_errors: int = 0
     spare_slots: int = 0
+    software_version: str | None = None
     software_versions: list[str] = field(default_factory=list)
+
+    @property
+    def stream_id(self) -> str:
+        """Id of the caller's request that brought the first event of the stream."""
+        return self.request.resumes or self.request.request_id
--- a/packages/ebonylb/src/ebonylb/forwarding/streams.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/streams.py
@@ -35,6 +35,10 @@
 MIN_ABANDON_TIMEOUT_MS = 2_000.0
 
 
+class OriginNotStoredError(StepError):
+    """A stream cannot begin on a server although the server is sound."""
+
+
 def can_continue_elsewhere(forwarder: "Forwarder", state: "RequestState") -> bool:
     """Return whether another server can continue a stream better than its own.
 
@@ -47,6 +51,7 @@
     directory = forwarder.directory
     return any(
         server.name != state.sent_to[-1]
+        and state.software_version in (None, server.software_version)
         and not directory.condition(server.name).is_backing_off(now)
         and forwarder.selector.limits.can_send(server)
         for server in directory.ready(state.service)
@@ -130,6 +135,8 @@
         condition = forwarder.directory.condition(server.name)
         condition.own_requests += 1
         last_event_ms: float | None = None
+        if state.software_versions:
+            forwarder.origins.add_open(state.stream_id, state.service, server)
         try:
             blocks = response.raw_events()
             while (
@@ -147,6 +154,8 @@
                         server.name,
                         f"event {number} after {last_number}",
                     )
+                if state.software_version is None or not state.software_versions:
+                    await begin_on_version(forwarder, state, server)
                 last_number = number
                 if server.software_version not in state.software_versions:
                     state.software_versions.append(server.software_version)
@@ -155,7 +164,8 @@
             forwarder.log_stream_end(state, last_number, complete=True)
             return
         except StepError as error:
-            condition.record_failure(forwarder.clock.monotonic_ms())
+            if not isinstance(error, OriginNotStoredError):
+                condition.record_failure(forwarder.clock.monotonic_ms())
             logger.warning(
                 "stream broke",
                 extra={
@@ -174,10 +184,33 @@
             raise
         finally:
             condition.own_requests -= 1
+            forwarder.origins.end(state.stream_id)
             response.close()
         server, response = await resume_stream(forwarder, state, last_number)
 
 
+async def begin_on_version(
+    forwarder: "Forwarder", state: "RequestState", server: ListedServer
+) -> None:
+    """Bind a stream to the software version of its server, before its first event.
+
+    Raises
+    ------
+    StepError
+        Another entry VM could continue the stream on another version. The stream may
+        begin again on the version that this entry VM need not record.
+    """
+    if state.request.resume_after and state.software_version is not None:
+        return
+    is_recorded = await forwarder.origins.begin(state.stream_id, state.service, server)
+    if not is_recorded and state.route.resumable:
+        state.software_version = forwarder.origins.former_version(state.service)
+        raise OriginNotStoredError(
+            "stream.origin", server.name, "software version not stored"
+        )
+    state.software_version = server.software_version
+
+
 async def pick_server_for_rest(
     forwarder: "Forwarder", state: "RequestState"
 ) -> ListedServer | None:
@@ -188,7 +221,7 @@
         forwarder.selector.limits.record_unmet(state.service)
     while (
         server is None
-        and forwarder.directory.ready(state.service)
+        and forwarder.has_server(state)
         and forwarder.clock.monotonic_ms() < give_up_ms
     ):
         await forwarder.clock.sleep_ms(LIMIT_CHECK_INTERVAL_MS)
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -19,6 +19,7 @@
 from ..fleet import DepartureNotingClient, ServerDirectory, ServerSelector
 from ..fleet.selector import Locality
 from ..forwarding import Forwarder
+from ..forwarding.stream_origins import StreamOrigins
 from ..forwarding.strikes import TABLE as STRIKES_TABLE
 from ..forwarding.strikes import CrashStrikes
 from ..interfaces import Clock, Metrics
@@ -113,12 +114,14 @@
             self.limit_registry,
         )
         self.strikes = CrashStrikes(dependencies.store, clock)
+        self.stream_origins = StreamOrigins(dependencies.store, clock, self.directory)
         self.forwarder = Forwarder(
             self.routes,
             self.directory,
             self.selector,
             self.server_client,
             self.strikes,
+            self.stream_origins,
             clock,
             metrics,
         )
@@ -234,6 +237,7 @@
         return {
             **{f"follow {follower.table}": follower.run for follower in followers},
             "limits": self.limit_shares.run,
+            "stream origins": self.stream_origins.delete_expired,
             "orders": self.order_controller.run,
             "batches": self.batch_ownership.watch,
             "missing servers": self.directory.drop_missing_periodically,
--- a/packages/ebonylb/tests/test_software_versions.py
+++ b/packages/ebonylb/tests/test_software_versions.py
@@ -6,12 +6,23 @@
 
 import asyncio
 import re
+from collections import Counter
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
+from ebonylb.fleet import ListedServer, ServerDirectory, ServerStage
+from ebonylb.fleet.software_versions import SEVERAL_MEMORY_MS
 from ebonylb.forwarding import CallerRequest
+from ebonylb.forwarding.stream_origins import (
+    DELETE_INTERVAL_MS,
+    RETENTION_MS,
+    TABLE,
+)
 from ebonylb.outcomes import Outcome, StepError
 from ebonylb_standins.histories.virtual_time import run_virtual
+from ebonylb_standins.site.manual_clock import ManualClock
 from ebonylb_standins.site.servers import PlannedResponse
 from ebonylb_standins.site.world import World, read_all
 
@@ -246,3 +257,117 @@
             assert refused
 
         run_virtual(scenario())
+
+    # Guards against streams that begin on a version which nobody else can know.
+    def test_without_the_store_streams_keep_to_the_former_version(self):
+        async def scenario():
+            world = make_world(plain_versions=["v1", "v1"])
+            vms = [world.start(name) for name in ("a", "b")]
+            await world.clock.sleep_ms(500)
+            for name in ("p2", "p3", "p4"):
+                world.add_server(name, "desk", 6, "north")
+                world.port.servers[name].software_version = "v2"
+            for vm in vms:
+                vm.refresh()
+                vm.store.faults.down = True
+            callers = [Caller(world, f"q{number}") for number in range(12)]
+            for caller in callers:
+                await caller.read(vms[0], 10)
+                assert versions_of(caller.events) == {"v1"}
+            vms[0].stop()
+            vms[1].store.faults.down = False
+            for caller in callers:
+                await caller.read(vms[1])
+            assert {len(caller.events) for caller in callers} == {EVENTS}
+            assert versions_of(e for c in callers for e in c.events) == {"v1"}
+
+        run_virtual(scenario())
+
+    def test_an_unknown_stream_is_refused_while_the_store_is_down(self):
+        async def scenario():
+            world = make_world(plain_versions=["v1", "v2"])
+            vms = [world.start(name) for name in ("a", "b")]
+            await world.clock.sleep_ms(500)
+            caller = Caller(world, "q")
+            await caller.read(vms[0], 10)
+            vms[1].store.faults.down = True
+            response = await caller.read(vms[1])
+            assert response.refusal.reason == "unknown_software_version"
+            assert response.refusal.outcome is Outcome.NOT_RUN
+            assert len(caller.events) == 10
+
+        run_virtual(scenario())
+
+    def test_rows_of_streams_are_deleted(self):
+        async def scenario():
+            world = make_world(plain_versions=["v1", "v2"])
+            vm = world.start("a")
+            await world.clock.sleep_ms(500)
+            for number in range(20):
+                await Caller(world, f"q{number}").read(vm, 3)
+            rows = [key for key in world.data.rows if key.table == TABLE]
+            assert len(rows) == 20
+            await world.clock.sleep_ms(RETENTION_MS + 2 * DELETE_INTERVAL_MS)
+            assert not [key for key in world.data.rows if key.table == TABLE]
+
+        run_virtual(scenario())
+
+
+class TestListedVersions:
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from("abcd"),
+                st.sampled_from(["s", "t"]),
+                st.sampled_from(["", "v1", "v2", "v3"]),
+            ),
+            max_size=30,
+        )
+    )
+    def test_counts_are_those_of_the_list(self, changes):
+        """An empty version removes the server."""
+        directory = ServerDirectory(ManualClock(1_000_000.0))
+        for name, service, version in changes:
+            if version:
+                directory.put(
+                    ListedServer(
+                        name,
+                        service,
+                        "a:1",
+                        "north",
+                        ServerStage.READY,
+                        software_version=version,
+                    )
+                )
+            else:
+                directory.remove(name)
+            for service_name in ("s", "t"):
+                listed = Counter(
+                    server.software_version
+                    for server in directory.servers.values()
+                    if server.service == service_name
+                )
+                counts = directory.software_versions.counts.get(service_name, {})
+                assert dict(counts) == dict(listed)
+                if len(listed) > 1:
+                    assert directory.has_several_versions(service_name)
+
+    def test_the_former_version_is_the_one_that_was_alone(self):
+        clock = ManualClock(1_000_000.0)
+        directory = ServerDirectory(clock)
+        for name, version in (("a", "v1"), ("b", "v2"), ("c", "v2")):
+            directory.put(
+                ListedServer(
+                    name,
+                    "s",
+                    "a:1",
+                    "north",
+                    ServerStage.READY,
+                    software_version=version,
+                )
+            )
+        directory.remove("a")
+        assert directory.software_versions.former["s"] == "v1"
+        assert directory.has_several_versions("s")
+        clock.now_ms += SEVERAL_MEMORY_MS
+        assert not directory.has_several_versions("s")
