batches: servers that crash under a scoring request do not count against it

Trainers lost items: after two servers had crashed while they ran an item's scoring request, the request was never sent again, although all servers were back, and its item stayed open until its retention was over. Cause: scoring requests used the strikes of callers' requests, which guard against requests that crash servers by themselves. Work handed in for later never is one, and scoring requests are exempt from what items are exempt from. Items themselves have no strikes: their test passes on the former code as well. Change: a request may be begun without a fingerprint; scoring requests are.

--- a/packages/ebonylb/src/ebonylb/batches/scoring.py
+++ b/packages/ebonylb/src/ebonylb/batches/scoring.py
@@ -45,8 +45,9 @@
     """Sends scoring requests through their routes until each has a score.
 
     A scoring request may be repeated, whatever the kind of its route. It is sent like a
-    caller's request: to the target of the route, with hedged copies, and not again once
-    it has crashed servers.
+    caller's request: to the target of the route, with hedged copies. Servers that crash
+    while they run it do not count against it: work that was handed in for later never
+    crashes servers by itself, and its score is still owed.
 
     Parameters
     ----------
@@ -113,7 +114,10 @@
             now = self.clock.monotonic_ms()
             progress.waited_ms += now - queued_ms
             call = self.forwarder.begin(
-                make_caller_request(scoring, now), scoring_route, SPARE_SLOTS
+                make_caller_request(scoring, now),
+                scoring_route,
+                SPARE_SLOTS,
+                counts_crashes=False,
             )
             response = await self.forwarder.run(call)
         progress.servers.extend(call.sent_to)
--- a/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
@@ -117,11 +117,20 @@
         return response
 
     def begin(
-        self, request: CallerRequest, route: Route, spare_slots: int = 0
+        self,
+        request: CallerRequest,
+        route: Route,
+        spare_slots: int = 0,
+        counts_crashes: bool = True,
     ) -> RequestState:
         """Return the state of a new request.
 
-        Servers with more free slots than `spare_slots` are preferred for it.
+        Parameters
+        ----------
+        spare_slots : int
+            Servers with more free slots than this are preferred.
+        counts_crashes : bool
+            Whether servers that crash while they run the request count against it.
         """
         limit_ms = route.timeout_ms
         if request.deadline_ms is not None:
@@ -133,7 +142,9 @@
             request.received_ms + limit_ms - RESPONSE_MARGIN_MS,
             request_fingerprint(
                 request.method, request.host, request.target, request.body
-            ),
+            )
+            if counts_crashes
+            else None,
             spare_slots=spare_slots,
         )
 
@@ -222,8 +233,10 @@
         )
         if result.cause:
             state.causes.append(f"{server.name}: {result.cause}")
-        if result.connection_lost and not await self.server_client.is_reachable(
-            server.endpoint
+        if (
+            state.fingerprint is not None
+            and result.connection_lost
+            and not await self.server_client.is_reachable(server.endpoint)
         ):
             self.strikes.record_crash(
                 state.fingerprint, f"{server.name}.{server.started_ms}"
--- a/packages/ebonylb/src/ebonylb/forwarding/request_state.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/request_state.py
@@ -14,8 +14,9 @@
     ----------
     deadline_at_ms : float
         Monotonic time at which the final response is due.
-    fingerprint : str
-        Digest that is equal each time the request is sent.
+    fingerprint : str or None
+        Digest that is equal each time the request is sent. None for a request that
+        never crashes servers by itself, so that their crashes do not count.
     tried_servers : set of str
         Names of the servers that the request was sent to.
     counted_attempts : int
@@ -42,7 +43,7 @@
     route: Route
     service: str
     deadline_at_ms: float
-    fingerprint: str
+    fingerprint: str | None
     tried_servers: set[str] = field(default_factory=set)
     counted_attempts: int = 0
     refused_attempts: int = 0
--- a/packages/ebonylb/src/ebonylb/forwarding/strikes.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/strikes.py
@@ -49,11 +49,13 @@
         self.crashes: OrderedDict[str, set[str]] = OrderedDict()
         self.tasks: set[asyncio.Task[None]] = set()
 
-    def is_blocked(self, fingerprint: str) -> bool:
+    def is_blocked(self, fingerprint: str | None) -> bool:
         """Return whether a request must not be sent to servers any more."""
+        if fingerprint is None:
+            return False
         return len(self.crashes.get(fingerprint, ())) >= MAX_STRIKES
 
-    def is_suspect(self, fingerprint: str) -> bool:
+    def is_suspect(self, fingerprint: str | None) -> bool:
         """Return whether a request was running on a server that crashed."""
         return fingerprint in self.crashes
 
