connections: answers without an end are errors

What callers saw: nothing yet; a server in trouble could hold a request for its whole time and fill the memory of an entry VM. Cause: aiohttp reads interim responses, trailers and bodies as long as they come, and the decoder of events copied the rest of its buffer for each event, so that a chunk of blank lines stopped the event loop for seconds. Change: a connection aborts after 64 KiB without a byte of a body; bodies are read up to the limit of callers' requests, reports and responses to orders up to 1 MiB; comments between two events count like an event; the decoder moves an offset.

--- a/packages/ebonylb/src/ebonylb/adapters/connections.py
+++ b/packages/ebonylb/src/ebonylb/adapters/connections.py
@@ -1,8 +1,9 @@
 """Connections of the HTTP clients that never mistake one response for another.
 
-The connections of aiohttp are more lenient in two cases. A response without a length
+The connections of aiohttp are more lenient in three cases. A response without a length
 ends with its connection, and a connection that is reset also ends it. Bytes that arrive
-while a connection is idle are taken as the response to the next request.
+while a connection is idle are taken as the response to the next request. Interim
+responses, and what frames a body, may come without end.
 """
 
 import asyncio
@@ -12,9 +13,49 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import set_exception
 
+# Bytes that a connection accepts without a byte of a body: the head of a response with
+# its interim responses, or chunk extensions and trailers.
+MAX_BYTES_WITHOUT_BODY = 65_536
+
 
 class StrictConnection(ResponseHandler):
-    """Connection whose unfinished or unexpected responses are never used."""
+    """Connection whose unfinished, unexpected or endless responses are never used.
+
+    Attributes
+    ----------
+    bytes_without_body : int
+        Number of bytes received since the last byte of a body.
+    """
+
+    bytes_without_body = 0
+
+    def set_response_params(self, **options: object) -> None:
+        """Prepare for the response to the next request."""
+        self.bytes_without_body = 0
+        super().set_response_params(**options)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes, and abort the connection if no body comes of them."""
+        body, body_bytes = self.read_progress()
+        super().data_received(data)
+        if self.read_progress() != (body, body_bytes):
+            self.bytes_without_body = 0
+            return
+        self.bytes_without_body += len(data)
+        if self.bytes_without_body <= MAX_BYTES_WITHOUT_BODY:
+            return
+        error = aiohttp.ClientPayloadError("response without an end")
+        if self._payload is not None and not self._payload.is_eof():
+            set_exception(self._payload, error)
+        transport = self.transport
+        self.set_exception(error)
+        if transport is not None:
+            transport.abort()
+
+    def read_progress(self) -> tuple[object, int]:
+        """Return the body that is being received and its number of bytes so far."""
+        body = self._payload
+        return body, getattr(body, "total_bytes", 0)
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an unfinished body if the connection was not closed in order."""
--- a/packages/ebonylb/src/ebonylb/platform/event_stream.py
+++ b/packages/ebonylb/src/ebonylb/platform/event_stream.py
@@ -9,13 +9,17 @@
 MAX_EVENT_BYTES = 1_000_000
 
 
-def find_event_end(buffer: bytes) -> int:
-    """Return the length of the first complete event with its blank line, or 0."""
-    line_feed_end = buffer.find(b"\n\n")
-    carriage_return_end = buffer.find(b"\r\n\r\n")
-    if carriage_return_end >= 0 and (
-        line_feed_end < 0 or carriage_return_end < line_feed_end
-    ):
+def find_event_end(buffer: bytes, start: int = 0) -> int:
+    """Return the end of the first complete event with its blank line, or 0.
+
+    Nothing behind that event is searched, so that many small events in one buffer take
+    a time that grows with their number only.
+    """
+    line_feed_end = buffer.find(b"\n\n", start)
+    carriage_return_end = buffer.find(
+        b"\r\n\r\n", start, line_feed_end if line_feed_end >= 0 else len(buffer)
+    )
+    if carriage_return_end >= 0:
         return carriage_return_end + 4
     return line_feed_end + 2 if line_feed_end >= 0 else 0
 
@@ -64,6 +68,7 @@
         self.step = step
         self.peer = peer
         self.buffer = b""
+        self.ignored_bytes = 0
 
     def feed(self, chunk: bytes) -> list[tuple[StreamEvent, bytes]]:
         """Add bytes and return the events that they complete, each with its bytes.
@@ -71,17 +76,23 @@
         Raises
         ------
         StepError
-            An event cannot be decoded, or is larger than `MAX_EVENT_BYTES`.
+            An event cannot be decoded, or it or the comments before it are larger than
+            `MAX_EVENT_BYTES`.
         """
-        self.buffer += chunk
-        if len(self.buffer) > MAX_EVENT_BYTES:
+        buffer = self.buffer + chunk
+        if len(buffer) + self.ignored_bytes > MAX_EVENT_BYTES:
             raise StepError(self.step, self.peer, "event without an end")
         events = []
-        while end := find_event_end(self.buffer):
-            block, self.buffer = self.buffer[:end], self.buffer[end:]
+        start = 0
+        while end := find_event_end(buffer, start):
+            block, start = buffer[start:end], end
             event = decode_event(block, self.step, self.peer)
-            if event is not None:
-                events.append((event, block))
+            if event is None:
+                self.ignored_bytes += len(block)
+                continue
+            self.ignored_bytes = 0
+            events.append((event, block))
+        self.buffer = buffer[start:]
         return events
 
     def finish(self) -> None:
--- a/packages/ebonylb/src/ebonylb/platform/servers.py
+++ b/packages/ebonylb/src/ebonylb/platform/servers.py
@@ -33,6 +33,10 @@
 # A reachable server accepts a connection within about 30 ms, also in other regions.
 CONNECT_TIMEOUT_S = 0.6
 CONTROL_TIMEOUT_S = 1.0
+# A server's response of more bytes is no response. The first limit is that of callers'
+# requests; the second one is for reports and responses to orders.
+MAX_BODY_BYTES = 33_554_432
+MAX_CONTROL_BODY_BYTES = 1_048_576
 NORMAL_SLOWDOWN_PERCENT = 100  # load header of a server on an undisturbed machine
 
 
@@ -95,6 +99,18 @@
     )
 
 
+async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Read a complete body; raise `ValueError` if it is larger than `max_bytes`."""
+    if (response.content_length or 0) > max_bytes:
+        raise ValueError(f"body of more than {max_bytes} bytes")
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > max_bytes:
+            raise ValueError(f"body of more than {max_bytes} bytes")
+    return bytes(body)
+
+
 class HttpServerResponse(ServerResponse):
     """Response that is read from an open connection."""
 
@@ -106,7 +122,7 @@
     async def body(self) -> bytes:
         """Read the complete body."""
         try:
-            return await self.response.read()
+            return await read_body(self.response, MAX_BODY_BYTES)
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise StepError("server.body", self.peer, describe_error(error)) from error
 
@@ -294,7 +310,7 @@
                     response.close()
                     cause = f"response to request {echoed} instead of a control request"
                     return Err(StepError(step, server.name, cause))
-                body = await response.read()
+                body = await read_body(response, MAX_CONTROL_BODY_BYTES)
                 leaving = (
                     says_leaving(response.headers)
                     and response.status != WRONG_SERVER_STATUS
--- a/packages/ebonylb/tests/test_connections.py
+++ b/packages/ebonylb/tests/test_connections.py
@@ -358,3 +358,137 @@
                 await until(lambda: writers[0].is_closing(), 2_000)
 
         run(scenario())
+
+
+class TestEndlessAnswers:
+    """Bytes that are no answer come without end, until the client closes."""
+
+    @staticmethod
+    def flooding(head, block):
+        """Return a handler that never stops sending, and the bytes that it has sent."""
+        sent = []
+
+        async def handle(reader, writer):
+            await read_request_id(reader)
+            # What the client has not received stays out of the kernel's buffer.
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65_536)
+            writer.write(head)
+            while True:
+                writer.write(block)
+                await writer.drain()
+                sent.append(len(block))
+
+        return handle, sent
+
+    # Guards against heads and bodies without an end, which took all time and memory.
+    @pytest.mark.parametrize(
+        ("head", "block", "max_bytes"),
+        [
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100, 2_000_000),
+            (b"", b"HTTP/1.1 103 Early\r\nA: b\r\n\r\n" * 100, 2_000_000),
+            (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n" * 100, 2_000_000),
+            (b"HTTP/1.1 200 OK\r\nA: ", b"b" * 1_000, 2_000_000),
+            (b"", b"\r\n" * 1_000, 2_000_000),
+            (b"", b"\0" * 1_000, 2_000_000),
+            (answer("q", length=False), b"x" * 100_000, 60_000_000),
+            (
+                answer("q", b"", length=False, **{"Transfer-Encoding": "chunked"}),
+                b"186a0\r\n" + b"x" * 100_000 + b"\r\n",
+                60_000_000,
+            ),
+            (
+                answer("q", b"", length=False, **{"Transfer-Encoding": "chunked"})
+                + b"2\r\nok\r\n0\r\n",
+                b"A: b\r\n" * 100,
+                2_000_000,
+            ),
+            (
+                answer("q", b"", length=False, **{"Content-Length": str(10**12)}),
+                b"x" * 100_000,
+                60_000_000,
+            ),
+        ],
+        ids=[
+            "interim",
+            "interim-fields",
+            "fields",
+            "field",
+            "lines",
+            "zeros",
+            "body",
+            "chunks",
+            "trailers",
+            "length",
+        ],
+    )
+    def test_a_flood_ends(self, head, block, max_bytes):
+        async def scenario():
+            handle, sent = self.flooding(head, block)
+            async with serving(handle) as (client, address), asyncio.timeout(10):
+                assert isinstance(await fetch(client, address, "q"), StepError)
+                await asyncio.sleep(0.1)
+                received = sum(sent)
+                assert received < max_bytes
+                await asyncio.sleep(0.1)
+                assert sum(sent) == received
+
+        run(scenario())
+
+    @pytest.mark.parametrize("block", [b": comment\n\n", b"\n\n", b": comment"])
+    def test_a_stream_of_comments_ends(self, block):
+        async def scenario():
+            handle, sent = self.flooding(answer("q", b"", length=False), block * 1_000)
+            async with serving(handle) as (client, address), asyncio.timeout(10):
+                response = (await client.open(address, make_request("q"))).ok_value
+                with pytest.raises(StepError):
+                    async for _ in response.events():
+                        pass
+                response.close()
+                assert sum(sent) < 20_000_000
+
+        run(scenario())
+
+    def test_a_report_without_an_end_is_an_error(self):
+        async def scenario():
+            handle, sent = self.flooding(answer(None, length=False), b"[" * 100_000)
+            async with serving(handle) as (client, address), asyncio.timeout(10):
+                assert isinstance(await client.read_report(address), Err)
+                assert sum(sent) < 20_000_000
+
+        run(scenario())
+
+    def test_a_large_answer_is_whole(self):
+        async def scenario():
+            body = b"x" * 20_000_000
+
+            async def handle(reader, writer):
+                await read_request_id(reader)
+                writer.write(b"HTTP/1.1 100 Continue\r\n\r\n" + answer("q", body))
+                await writer.drain()
+
+            async with serving(handle) as (client, address):
+                assert await fetch(client, address, "q") == body
+
+        run(scenario())
+
+    def test_a_long_stream_of_small_events_is_whole(self):
+        async def scenario():
+            async def handle(reader, writer):
+                await read_request_id(reader)
+                writer.write(
+                    answer("q", b"", length=False, **{"Transfer-Encoding": "chunked"})
+                )
+                for number in range(1, 20_001):
+                    event = f"id: {number}\n\n".encode()
+                    writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+                    await writer.drain()
+                writer.write(b"0\r\n\r\n")
+
+            async with serving(handle) as (client, address):
+                response = (await client.open(address, make_request("q"))).ok_value
+                numbers = [event.number async for event in response.events()]
+                response.close()
+                assert numbers == list(range(1, 20_001))
+
+        run(scenario())
