forwarding: what a stream requires is decided with the origins of streams

Cause: read as a newcomer, forwarder.py held a decision that belongs to the origins of streams, and a first listing in any order told which version had been alone, so that an entry VM that starts while versions are mixed took one of them at random. Change: required_version in stream_origins.py, the log line in streams.py; a first listing tells no former version, the server that has run longest does; after a failed write, streams that need no row do not wait for another one. Test: test_a_first_listing_does_not_tell_which_version_was_alone, both orders.

--- a/packages/ebonylb/src/ebonylb/fleet/directory.py
+++ b/packages/ebonylb/src/ebonylb/fleet/directory.py
@@ -79,6 +79,7 @@
 
     def replace_all(self, listed: Iterable[ListedServer]) -> None:
         """Replace all servers by a complete listing."""
+        is_first = not self.servers
         listed_by_name = {server.name: server for server in listed}
         for name in [name for name in self.servers if name not in listed_by_name]:
             self.remove(name, notify=False)
@@ -89,6 +90,8 @@
         ]
         for server in listed_by_name.values():
             self.put(server, notify=False)
+        if is_first:
+            self.software_versions.forget_former()
         log_listed(new, restarted=False)
         self.notify()
 
--- a/packages/ebonylb/src/ebonylb/fleet/software_versions.py
+++ b/packages/ebonylb/src/ebonylb/fleet/software_versions.py
@@ -62,6 +62,10 @@
             for listener in self.listeners:
                 listener(service)
 
+    def forget_former(self) -> None:
+        """Forget which version was alone: a first listing has no order in time."""
+        self.former.clear()
+
     def has_several(self, service: str) -> bool:
         """Return whether several versions are listed, or were a short time ago."""
         if len(self.counts.get(service, ())) > 1:
--- a/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
@@ -388,38 +388,12 @@
             return bool(self.directory.ready(state.service))
         return self.directory.has_ready_version(state.service, state.software_version)
 
-    async def choose_software_version(
-        self, state: RequestState
-    ) -> CallerResponse | None:
-        """Set the software version on which a stream must run.
-
-        Returns
-        -------
-        CallerResponse or None
-            Refusal of a stream that began on a version that is not known.
-        """
-        request, service = state.request, state.service
-        if not request.resume_after:
-            state.software_version = self.origins.version_for_new_stream(service)
-            return None
-        if not request.resumes and not self.directory.has_several_versions(service):
-            return None
-        state.software_version = await self.origins.find(request.resumes, service)
-        if state.software_version is not None:
-            return None
-        if not self.directory.has_several_versions(service):
-            return None
-        return make_refusal(
-            Outcome.NOT_RUN,
-            "unknown_software_version",
-            "the software version on which the stream began is not known here",
-            NO_SERVER_RETRY_AFTER_MS,
-        )
-
     async def open_stream(self, state: RequestState) -> CallerResponse | CallerStream:
         """Open a stream; the deadline applies only until the response head arrives."""
-        if refusal := await self.choose_software_version(state):
-            return refusal
+        required = await self.origins.required_version(state.request, state.service)
+        if isinstance(required, Err):
+            return required.err_value
+        state.software_version = required.ok_value
         while True:
             if state.refused_attempts >= MAX_REFUSED_ATTEMPTS:
                 return self.refuse_overloaded(state)
@@ -522,24 +496,6 @@
             },
         )
 
-    def log_stream_end(
-        self, state: RequestState, last_number: int, complete: bool
-    ) -> None:
-        """Log which events of a stream were sent on and which software made them."""
-        logger.info(
-            "stream ended",
-            extra={
-                "request_id": state.request.request_id,
-                "resumes": state.request.resumes,
-                "service": state.service,
-                "first_event": (state.request.resume_after or 0) + 1,
-                "last_event": last_number,
-                "complete": complete,
-                "software_versions": state.software_versions,
-                "servers": state.sent_to,
-            },
-        )
-
     def log_end(
         self, state: RequestState, response: CallerResponse | CallerStream
     ) -> None:
--- a/packages/ebonylb/src/ebonylb/forwarding/stream_origins.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/stream_origins.py
@@ -10,12 +10,14 @@
 import logging
 from collections import OrderedDict, deque
 
-from result import Err
+from result import Err, Ok, Result
 from xxhash import xxh64_intdigest
 
 from ..fleet import ListedServer, ServerDirectory
 from ..interfaces import Clock
 from ..interfaces.row_store import Put, RowKey, RowStore, next_key
+from ..outcomes import Outcome
+from .messages import CallerRequest, CallerResponse, make_refusal
 
 logger = logging.getLogger(__name__)
 
@@ -30,6 +32,8 @@
 READ_TIMEOUT_MS = 300.0
 # After a failed write, new streams begin on the version that needs none for this time.
 RETRY_MS = 1_000.0
+# A server of the missing version may be back, or the store, after this time.
+REFUSAL_RETRY_AFTER_MS = 1_000
 # Rows are deleted after this time, longer than any stream lasts.
 RETENTION_MS = 120_000.0
 DELETE_INTERVAL_MS = 10_000.0
@@ -95,6 +99,30 @@
         )
         return oldest.software_version if oldest else None
 
+    async def required_version(
+        self, request: CallerRequest, service: str
+    ) -> Result[str | None, CallerResponse]:
+        """Return the only version on which a stream may run; None for any.
+
+        The error is the refusal of a stream that began on an unknown version.
+        """
+        if not request.resume_after:
+            return Ok(self.version_for_new_stream(service))
+        has_several = self.directory.has_several_versions(service)
+        if not request.resumes and not has_several:
+            return Ok(None)
+        version = await self.find(request.resumes, service)
+        if version is not None or not has_several:
+            return Ok(version)
+        return Err(
+            make_refusal(
+                Outcome.NOT_RUN,
+                "unknown_software_version",
+                "the software version on which the stream began is not known here",
+                REFUSAL_RETRY_AFTER_MS,
+            )
+        )
+
     def version_for_new_stream(self, service: str) -> str | None:
         """Return the only version on which a new stream may begin; None for any.
 
@@ -123,7 +151,7 @@
         software_version = server.software_version
         if not self.directory.has_several_versions(service):
             return True
-        if await self.write(stream_id, software_version):
+        if self.can_store() and await self.write(stream_id, software_version):
             return True
         former = self.former_version(service)
         return former in (
--- a/packages/ebonylb/src/ebonylb/forwarding/streams.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/streams.py
@@ -83,6 +83,23 @@
     return abandon_timeout_ms / 1000
 
 
+def log_stream_end(state: "RequestState", last_number: int, complete: bool) -> None:
+    """Log which events of a stream were sent on and which software made them."""
+    logger.info(
+        "stream ended",
+        extra={
+            "request_id": state.request.request_id,
+            "resumes": state.request.resumes,
+            "service": state.service,
+            "first_event": (state.request.resume_after or 0) + 1,
+            "last_event": last_number,
+            "complete": complete,
+            "software_versions": state.software_versions,
+            "servers": state.sent_to,
+        },
+    )
+
+
 async def open_with_timeout(
     forwarder: "Forwarder",
     state: "RequestState",
@@ -161,7 +178,7 @@
                     state.software_versions.append(server.software_version)
                 yield block
             condition.record_success(forwarder.clock.monotonic_ms())
-            forwarder.log_stream_end(state, last_number, complete=True)
+            log_stream_end(state, last_number, complete=True)
             return
         except StepError as error:
             if not isinstance(error, OriginNotStoredError):
@@ -176,11 +193,11 @@
                 },
             )
             if not state.route.resumable:
-                forwarder.log_stream_end(state, last_number, complete=False)
+                log_stream_end(state, last_number, complete=False)
                 raise
         except (asyncio.CancelledError, GeneratorExit):
             forwarder.log_abandoned(state)
-            forwarder.log_stream_end(state, last_number, complete=False)
+            log_stream_end(state, last_number, complete=False)
             raise
         finally:
             condition.own_requests -= 1
@@ -258,5 +275,5 @@
             return server, response
         response.close()
         state.causes.append(f"{server.name}: status {response.head.status}")
-    forwarder.log_stream_end(state, last_number, complete=False)
+    log_stream_end(state, last_number, complete=False)
     raise StepError("stream.resume", state.service, "no server continued the stream")
--- a/packages/ebonylb/tests/test_software_versions.py
+++ b/packages/ebonylb/tests/test_software_versions.py
@@ -19,6 +19,7 @@
     DELETE_INTERVAL_MS,
     RETENTION_MS,
     TABLE,
+    StreamOrigins,
 )
 from ebonylb.outcomes import Outcome, StepError
 from ebonylb_standins.histories.virtual_time import run_virtual
@@ -371,3 +372,23 @@
         assert directory.has_several_versions("s")
         clock.now_ms += SEVERAL_MEMORY_MS
         assert not directory.has_several_versions("s")
+
+    @pytest.mark.parametrize("old_first", [False, True])
+    def test_a_first_listing_does_not_tell_which_version_was_alone(self, old_first):
+        """The version of the server that has run longest counts."""
+        directory = ServerDirectory(ManualClock(1_000_000.0))
+        servers = [
+            ListedServer(
+                version,
+                "s",
+                "a:1",
+                "north",
+                ServerStage.READY,
+                started_ms=started_ms,
+                software_version=version,
+            )
+            for version, started_ms in (("v2", 2_000), ("v1", 1_000))
+        ]
+        directory.replace_all(reversed(servers) if old_first else servers)
+        origins = StreamOrigins(None, directory.clock, directory)
+        assert origins.former_version("s") == "v1"
