limits: slots pass without a time of the store; tests over HTTP with processes

Cause: with a store that names no time, as the HTTP stand-in did, the slots of limited servers stood still: after the first answers a service got nothing, and its callers only 503. Found by the new test with real entry VM processes, before any landing. Change: slots follow the local clock while the time of the store is not known; the stand-in store names its time, as the platform's does. The HTTP stand-in servers name limits and software versions. New tests with three processes each: all plain servers limited, and callers' streams that are taken up twice at other entry VMs; each with a broken variant of the program that is reported (share_no_limits, forget_origins). The variant join_loosely records the software version of its events, without which it would not join loosely.

--- a/packages/ebonylb/src/ebonylb/limits/gate.py
+++ b/packages/ebonylb/src/ebonylb/limits/gate.py
@@ -64,7 +64,9 @@
         if server.name not in self.registry.observed:
             return True
         allowance = self.refilled_allowance(server.endpoint, server.service)
-        return allowance is None or allowance.has_request(self.store_time.now_ms())
+        return allowance is None or allowance.has_request(
+            self.store_time.now_or_local_ms()
+        )
 
     def reserve(self, server: ListedServer) -> None:
         """Count a request that is about to be sent to a server."""
@@ -120,7 +122,7 @@
         if allowance is None:
             allowance = Allowance(server.name, self.entry_vm)
             self.allowances[server.name] = allowance
-        now = self.store_time.now_ms()
+        now = self.store_time.now_or_local_ms()
         if allowance.is_refill_due(now):
             assert self.shares is not None
             shares = self.shares.slot_shares(service)
--- a/packages/ebonylb/src/ebonylb/storage/store_time.py
+++ b/packages/ebonylb/src/ebonylb/storage/store_time.py
@@ -29,6 +29,10 @@
             return 0.0
         return self.clock.monotonic_ms() + self.offset_ms
 
+    def now_or_local_ms(self) -> float:
+        """Return the store's current time, or that of the local clock if unknown."""
+        return self.now_ms() or self.clock.monotonic_ms()
+
     def age_ms(self, written_ms: float) -> float:
         """Return the age of something written at a store time, or 0 if unknown."""
         now = self.now_ms()
--- a/packages/ebonylb/tests/test_limits.py
+++ b/packages/ebonylb/tests/test_limits.py
@@ -343,6 +343,22 @@
 
         run_virtual(scenario())
 
+    # Guards against a service that gets nothing where the store names no time.
+    def test_slots_pass_without_a_time_of_the_store(self):
+        async def scenario():
+            world, vm = await self.limited_world({"p0": 4.0, "p1": 4.0})
+            vm.limits.store_time.offset_ms = None
+            vm.limits.allowances.clear()
+            vm.stop()
+            statuses = []
+            for number in range(100):
+                response = await serve(vm, make_request(world, f"q{number}", "/ask/1"))
+                statuses.append(response.status)
+                await world.clock.sleep_ms(50)
+            assert 30 <= statuses.count(200) <= 50
+
+        run_virtual(scenario())
+
 
 class TestStatements:
     """Which statement of a server holds."""
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_servers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_servers.py
@@ -69,6 +69,13 @@
         (refuses) or ``"cut"`` (ends the response early).
     says_leaving : bool
         Whether all its responses state that it leaves.
+    limit_per_s : float or None
+        Limit that all its responses name; None for none.
+    software_version : str
+        Version of its software, which its row names.
+    stream_parts : list of (str, int, str)
+        Id, number of the first event and software version of each stream. The id is
+        that of the request whose stream a caller takes up.
     lost_response_share : float
         Share, from 0 to 1, of plain requests that run and whose response is lost.
     """
@@ -88,6 +95,9 @@
     loading: bool = False
     fault: str = ""
     says_leaving: bool = False
+    limit_per_s: float | None = None
+    software_version: str = "v1"
+    stream_parts: list[tuple[str, int, str]] = field(default_factory=list)
     lost_response_share: float = 0.0
     random: Random = field(default_factory=lambda: Random(1))
 
@@ -98,16 +108,18 @@
     def build_app(self) -> web.Application:
         """Return the web application that serves this server's paths."""
         app = web.Application()
-        app.on_response_prepare.append(self.announce_departure)
+        app.on_response_prepare.append(self.describe_itself)
         app.router.add_get("/api/report", self.handle_report)
         app.router.add_post("/api/order", self.handle_order)
         app.router.add_route("*", "/{path:.*}", self.handle_request)
         return app
 
-    async def announce_departure(
+    async def describe_itself(
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
-        """State in a response that this server leaves, if it does."""
+        """State in a response that this server leaves, and its limit, if any."""
+        if self.limit_per_s is not None:
+            response.headers["Server-Limit"] = f"{self.limit_per_s:g}"
         if self.says_leaving:
             response.headers["Server-Leaving"] = "1"
 
@@ -117,7 +129,7 @@
             "Service": self.service,
             "Address": address,
             "Zone": zone,
-            "Version": "v1",
+            "Version": self.software_version,
             "Slots": self.slots,
             "State": state,
             "ColdRemainingMs": 0,
@@ -227,6 +239,8 @@
         model = request.headers.get("Ebonylb-Model", "")
         total = int(request.path.rsplit("/", 1)[-1])
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        stream_id = request.headers.get("Resumes") or request_id
+        self.stream_parts.append((stream_id, first, self.software_version))
         version = self.versions[model]
         if first <= total:
             headers["Ebonylb-Weight-Versions"] = str(version)
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_store.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_store.py
@@ -101,7 +101,7 @@
             "Rows": [encode_row(row) for row in rows],
             "HasMore": False,
             "Ver": self.data.version,
-            "NowMs": 0,
+            "NowMs": int(asyncio.get_running_loop().time() * 1_000),
         }
         return web.json_response(body, status=status)
 
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/broken.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/broken.py
@@ -7,9 +7,12 @@
 import sys
 from collections.abc import Callable
 
+from result import Ok
+
 from ebonylb.batches import item_run, repository, rows
 from ebonylb.fleet import directory
-from ebonylb.forwarding import attempt, forwarder
+from ebonylb.forwarding import attempt, forwarder, stream_origins
+from ebonylb.limits import shares
 from ebonylb.orders import leases
 from ebonylb.service.site_main import main
 
@@ -67,8 +70,7 @@
     async def read_events(self, server, state, need, response, version, silence):
         async for event in response.events():
             silence.record_event()
-            state.events.append(event.data)
-            state.versions.append(version or 1)
+            state.add_event(event.data, version or 1, server.software_version)
 
     item_run.ItemRunner.read_events = read_events
 
@@ -95,6 +97,22 @@
     directory.ServerDirectory.record_departure = lambda self, endpoint: None
 
 
+def share_no_limits() -> None:
+    """Keep to the limits of servers as if no other entry VM sent anything."""
+    shares.LimitShares.slot_shares = lambda self, service: shares.SlotShares(
+        {self.name: 1}
+    )
+
+
+def forget_origins() -> None:
+    """Take a caller's stream up on any software version."""
+
+    async def required_version(self, request, service):
+        return Ok(None)
+
+    stream_origins.StreamOrigins.required_version = required_version
+
+
 VARIANTS: dict[str, Callable[[], None]] = {
     function.__name__: function
     for function in (
@@ -106,6 +124,8 @@
         score_early,
         list_without_score,
         forget_departures,
+        share_no_limits,
+        forget_origins,
     )
 }
 
--- a/packages/ebonylb_standins/tests/test_site.py
+++ b/packages/ebonylb_standins/tests/test_site.py
@@ -13,10 +13,18 @@
 from ebonylb_standins.site.http_site import (
     DESK,
     ENGINE,
+    HOST,
     PROGRAM,
+    ZONES,
     HttpSite,
     configuration,
 )
+from ebonylb_standins.site.limit_rule import Sending, Sighting, find_busiest_windows
+from ebonylb_standins.site.order_rule import (
+    MAX_MIXED_STREAMS,
+    StreamPart,
+    find_mixed_streams,
+)
 
 TIMEOUT_S = 20.0
 
@@ -368,3 +376,130 @@
     def test_the_check_reports_a_broken_variant(self):
         variant = ("-m", "ebonylb_standins.soak.broken", "forget_departures")
         assert asyncio.run(self.send_after_departure(125, variant)) > 0
+
+
+@pytest.mark.xdist_group("site")
+class TestLimitedServers:
+    """All plain servers name a limit; entry VMs are asked for three times more."""
+
+    @staticmethod
+    async def find_windows(first_ip, program=PROGRAM):
+        """Return the busiest windows of the limited servers, and all statuses."""
+        async with HttpSite(
+            first_ip=first_ip, entry_vms=3, engines=1, desks=3, program=program
+        ) as site:
+            loop = asyncio.get_running_loop()
+            desks = [site.servers[f"desk-{number}"] for number in range(3)]
+            for desk in desks:
+                desk.limit_per_s = 4.0
+            named_s = loop.time()
+            statuses = []
+
+            async def ask(vm, number):
+                status, body, _ = await site.call(vm, "POST", "/ask/1", f"q{number}")
+                reason = json.loads(body)["reason"] if status == 503 else ""
+                statuses.append((status, reason))
+
+            async with asyncio.TaskGroup() as group:
+                number = 0
+                while loop.time() < named_s + 10:
+                    for vm in site.vms.values():
+                        number += 1
+                        group.create_task(ask(vm, number))
+                    await asyncio.sleep(0.08)
+            sightings = [
+                Sighting(named_s * 1000, desk.name, "all", desk.limit_per_s)
+                for desk in desks
+            ]
+            sendings = [
+                Sending(at_s * 1000, desk.name, "all")
+                for desk in desks
+                for at_s, _ in desk.arrivals
+            ]
+            return find_busiest_windows(sightings, sendings), statuses
+
+    def test_all_entry_vms_together_keep_to_the_limit(self):
+        windows, statuses = asyncio.run(self.find_windows(165))
+        assert [w for w in windows if w.is_excess] == []
+        # What the servers accept is used, and the rest is refused as not run.
+        assert all(w.count >= 0.75 * 4 * w.requests_per_s for w in windows)
+        assert set(statuses) == {(200, ""), (503, "server_limit")}
+
+    def test_the_check_reports_a_broken_variant(self):
+        variant = ("-m", "ebonylb_standins.soak.broken", "share_no_limits")
+        windows, _ = asyncio.run(self.find_windows(170, variant))
+        assert [w for w in windows if w.is_excess]
+
+
+@pytest.mark.xdist_group("site")
+class TestSoftwareVersions:
+    """Callers' streams are taken up at other entry VMs; two versions serve."""
+
+    EVENTS = 60
+
+    @classmethod
+    async def read_part(cls, site, vm, request_id, max_events, **headers):
+        """Read events of a stream, then close it; return their numbers."""
+        numbers = []
+        async with site.http.post(
+            f"http://{vm.front_address}/chat/1/{cls.EVENTS}",
+            headers={
+                "Host": HOST,
+                "Ebonylb-Request-Id": request_id,
+                "Ebonylb-Model": "m",
+                "Ebonylb-Deadline-Ms": "10000",
+                **headers,
+            },
+        ) as response:
+            async for line in response.content:
+                if line.startswith(b"id: "):
+                    numbers.append(int(line[4:]))
+                    if len(numbers) == max_events:
+                        break
+        return numbers
+
+    @classmethod
+    async def find_mixed(cls, first_ip, program=PROGRAM):
+        """Return the streams with parts of two versions, and how many are complete."""
+        async with HttpSite(
+            first_ip=first_ip, entry_vms=3, engines=4, desks=1, program=program
+        ) as site:
+            for number, (name, server) in enumerate(site.servers.items()):
+                if name in ("engine-1", "engine-3"):
+                    server.software_version = "v2"
+                    site.register(server, list(ZONES)[number % 3])
+            await asyncio.sleep(1.0)
+            vms = list(site.vms.values())
+
+            async def read_stream(number):
+                first_id = f"s{number}"
+                numbers = await cls.read_part(site, vms[number % 3], first_id, 15)
+                for attempt in (1, 2):
+                    vm = vms[(number + attempt) % 3]
+                    numbers += await cls.read_part(
+                        site,
+                        vm,
+                        f"{first_id}-{attempt}",
+                        20 if attempt == 1 else cls.EVENTS,
+                        **{"Last-Event-Id": str(numbers[-1]), "Resumes": first_id},
+                    )
+                return numbers
+
+            numbers = await asyncio.gather(*(read_stream(n) for n in range(12)))
+            parts = [
+                StreamPart(stream_id, (version,))
+                for server in site.servers.values()
+                for stream_id, _, version in server.stream_parts
+            ]
+            expected = list(range(1, cls.EVENTS + 1))
+            return find_mixed_streams(parts), numbers.count(expected)
+
+    def test_streams_stay_on_their_version_over_all_tries(self):
+        mixed, complete = asyncio.run(self.find_mixed(175))
+        assert mixed == {}
+        assert complete == 12
+
+    def test_the_check_reports_a_broken_variant(self):
+        variant = ("-m", "ebonylb_standins.soak.broken", "forget_origins")
+        mixed, _ = asyncio.run(self.find_mixed(180, variant))
+        assert len(mixed) > MAX_MIXED_STREAMS
