forwarding: log how far attempts without an outcome came

Change: the client marks a request once it has a connection, new or kept, and the line `request ended` has `still connecting` or `no answer yet` for each unfinished attempt. New tests pass; ebonylb's tests pass.

--- a/packages/ebonylb/src/ebonylb/forwarding/attempt.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/attempt.py
@@ -7,9 +7,14 @@
 
 from ..fleet import ListedServer, ServerCondition, ServerDirectory
 from ..interfaces import Clock
-from ..interfaces.server_client import ResponseHead, ServerClient, ServerResponse
+from ..interfaces.server_client import (
+    ResponseHead,
+    ServerClient,
+    ServerRequest,
+    ServerResponse,
+)
 from ..outcomes import StepError
-from .messages import CallerRequest, CallerResponse
+from .messages import CallerResponse
 
 MIN_SERVER_ERROR_STATUS = 500
 SUCCESS_STATUSES = range(200, 300)
@@ -66,8 +71,7 @@
     directory: ServerDirectory,
     clock: Clock,
     server: ListedServer,
-    request: CallerRequest,
-    deadline_ms: float,
+    request: ServerRequest,
 ) -> AttemptResult:
     """Send a request to a server and read the complete response.
 
@@ -75,7 +79,7 @@
     """
     condition = directory.condition(server.name)
     began_ms = clock.monotonic_ms()
-    opened = await server_client.open(server.endpoint, request.for_server(deadline_ms))
+    opened = await server_client.open(server.endpoint, request)
     if isinstance(opened, Err):
         error = opened.err_value
         condition.record_failure(clock.monotonic_ms())
--- a/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
@@ -223,14 +223,13 @@
         """
         state.tried_servers.add(server.name)
         state.sent_to.append(server.name)
+        request = state.request.for_server(self.remaining_ms(state))
+        attempt = (server.name, request.progress)
+        state.unfinished.append(attempt)
         result = await send_to_server(
-            self.server_client,
-            self.directory,
-            self.clock,
-            server,
-            state.request,
-            self.remaining_ms(state),
+            self.server_client, self.directory, self.clock, server, request
         )
+        state.unfinished.remove(attempt)
         if result.cause:
             state.causes.append(f"{server.name}: {result.cause}")
         if (
@@ -489,7 +488,7 @@
                 "route": state.route.name,
                 "service": state.service,
                 "servers": state.sent_to,
-                "causes": state.causes,
+                "causes": state.all_causes(),
                 "elapsed_ms": round(
                     self.clock.monotonic_ms() - state.request.received_ms, 1
                 ),
@@ -514,7 +513,7 @@
                 "status": response.status,
                 "reason": refusal.reason if refusal else None,
                 "servers": state.sent_to,
-                "causes": state.causes,
+                "causes": state.all_causes(),
                 "elapsed_ms": round(elapsed_ms, 1),
                 "left_ms": round(state.deadline_at_ms - self.clock.monotonic_ms()),
             },
--- a/packages/ebonylb/src/ebonylb/forwarding/request_state.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/request_state.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from ..interfaces.server_client import SendProgress
 from ..routes import Route
 from .messages import CallerRequest
 
@@ -37,6 +38,8 @@
     software_versions : list of str
         Versions of the servers' software that made the events of a stream, without
         repetitions.
+    unfinished : list of (str, SendProgress)
+        Server and progress of each attempt without an outcome.
     """
 
     request: CallerRequest
@@ -53,8 +56,16 @@
     spare_slots: int = 0
     software_version: str | None = None
     software_versions: list[str] = field(default_factory=list)
+    unfinished: list[tuple[str, SendProgress]] = field(default_factory=list)
 
     @property
     def stream_id(self) -> str:
         """Id of the caller's request that brought the first event of the stream."""
         return self.request.resumes or self.request.request_id
+
+    def all_causes(self) -> list[str]:
+        """Return the causes of failed attempts, and how far unfinished ones came."""
+        return self.causes + [
+            f"{server}: {'no answer yet' if progress.connected else 'still connecting'}"
+            for server, progress in self.unfinished
+        ]
--- a/packages/ebonylb/src/ebonylb/forwarding/streams.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/streams.py
@@ -108,11 +108,15 @@
 ) -> Result[ServerResponse, StepError]:
     """Open a stream on a server, or return an error if its head comes too late."""
     request = state.request.for_server(forwarder.remaining_ms(state), last_number)
+    attempt = (server.name, request.progress)
+    state.unfinished.append(attempt)
     try:
         async with asyncio.timeout(stall_timeout_s(forwarder, state)):
-            return await forwarder.server_client.open(server.endpoint, request)
+            opened = await forwarder.server_client.open(server.endpoint, request)
     except TimeoutError:
-        return Err(StepError("stream.open", server.name, "no response in time"))
+        opened = Err(StepError("stream.open", server.name, "no response in time"))
+    state.unfinished.remove(attempt)
+    return opened
 
 
 async def read_next_event(
--- a/packages/ebonylb/src/ebonylb/interfaces/server_client.py
+++ b/packages/ebonylb/src/ebonylb/interfaces/server_client.py
@@ -30,6 +30,19 @@
     started_ms: int | None = None
 
 
+@dataclass(slots=True, eq=False)
+class SendProgress:
+    """How far the sending of one request has come; updated by the client.
+
+    Attributes
+    ----------
+    connected : bool
+        Whether the request had a connection, so that bytes of it may have been sent.
+    """
+
+    connected: bool = False
+
+
 @dataclass(frozen=True, slots=True)
 class ServerRequest:
     """Request to a backend server.
@@ -48,6 +61,8 @@
         Time that the server may spend on the request.
     resume_after : int or None
         Number of the last stream event already received; None for a new stream.
+    progress : SendProgress
+        Shows a sender that gives up whether the request may have run.
     """
 
     method: str
@@ -57,6 +72,7 @@
     request_id: str
     deadline_ms: float
     resume_after: int | None = None
+    progress: SendProgress = field(default_factory=SendProgress, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ebonylb/src/ebonylb/platform/servers.py
+++ b/packages/ebonylb/src/ebonylb/platform/servers.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass
+from types import SimpleNamespace
 
 import aiohttp
 import msgspec
@@ -40,6 +41,22 @@
 NORMAL_SLOWDOWN_PERCENT = 100  # load header of a server on an undisturbed machine
 
 
+async def record_connection(
+    session: aiohttp.ClientSession, context: SimpleNamespace, params: object
+) -> None:
+    """Record that a request has got its connection, new or kept."""
+    if context.trace_request_ctx is not None:
+        context.trace_request_ctx.connected = True
+
+
+def trace_connections() -> aiohttp.TraceConfig:
+    """Return the tracing that a session of `HttpServerClient` needs."""
+    tracing = aiohttp.TraceConfig()
+    tracing.on_connection_create_end.append(record_connection)
+    tracing.on_connection_reuseconn.append(record_connection)
+    return tracing
+
+
 class WireModel(msgspec.Struct):
     """Model in a report; `Version` is the version of its weights."""
 
@@ -161,7 +178,8 @@
     Parameters
     ----------
     session : aiohttp.ClientSession
-        Owned by the caller; must not add default headers.
+        Owned by the caller; must not add default headers and must be traced with
+        `trace_connections`.
     """
 
     def __init__(self, session: aiohttp.ClientSession) -> None:
@@ -184,6 +202,7 @@
                 data=request.body or None,
                 timeout=timeout,
                 allow_redirects=False,
+                trace_request_ctx=request.progress,
             )
         except (aiohttp.ClientError, OSError, ValueError) as error:
             may_have_run = not isinstance(error, NOT_SENT_ERRORS)
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -25,7 +25,7 @@
     is_configuration,
     is_weight_version,
 )
-from ..platform.servers import HttpServerClient
+from ..platform.servers import HttpServerClient, trace_connections
 from ..platform.sockets import create_keepalive_socket
 from ..platform.store import PlatformRowStore
 from ..storage.feed_pause import MAX_LISTING_PAUSE_MS, MIN_FEED_PAUSE_MS
@@ -99,7 +99,7 @@
     async def start(self) -> None:
         """Build the components, start following the store, and listen."""
         store_session = await self.open_session()
-        server_session = await self.open_session()
+        server_session = await self.open_session(trace_connections())
         self.store = PlatformRowStore(store_session, self.settings.store_address)
         self.server_client = HttpServerClient(server_session)
         locality = Locality(
@@ -139,7 +139,9 @@
             )
             self.tasks.append(asyncio.create_task(supervised))
 
-    async def open_session(self) -> aiohttp.ClientSession:
+    async def open_session(
+        self, tracing: aiohttp.TraceConfig | None = None
+    ) -> aiohttp.ClientSession:
         """Open an HTTP session for outgoing requests."""
         connector = StrictConnector(
             limit=0,
@@ -158,6 +160,7 @@
             ),
             cookie_jar=aiohttp.DummyCookieJar(),
             raise_for_status=False,
+            trace_configs=[tracing] if tracing else None,
         )
         # By default aiohttp resends requests with idempotent methods if a reused
         # connection was closed. Only the route decides whether a request may run again.
--- a/packages/ebonylb/tests/test_connections.py
+++ b/packages/ebonylb/tests/test_connections.py
@@ -19,7 +19,7 @@
     VersionOrder,
 )
 from ebonylb.outcomes import StepError
-from ebonylb.platform.servers import HttpServerClient
+from ebonylb.platform.servers import HttpServerClient, trace_connections
 from ebonylb.platform.store import PlatformRowStore
 from ebonylb_standins.waiting import until
 
@@ -83,7 +83,12 @@
     server = await asyncio.start_server(handle_safely, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()[:2]
     connector = StrictConnector(limit=0, keepalive_timeout=8.0)
-    async with server, aiohttp.ClientSession(connector=connector) as session:
+    async with (
+        server,
+        aiohttp.ClientSession(
+            connector=connector, trace_configs=[trace_connections()]
+        ) as session,
+    ):
         session._retry_connection = False
         yield HttpServerClient(session), ServerAddress("s", f"{host}:{port}")
 
@@ -102,6 +107,36 @@
         response.close()
 
 
+class TestProgress:
+    """A sender that gives up knows whether bytes of its request may have been sent."""
+
+    def test_a_request_with_a_connection_is_marked(self):
+        async def handle(reader, writer):
+            while request_id := await read_request_id(reader):
+                writer.write(answer(request_id, b"whole"))
+
+        async def scenario():
+            async with serving(handle) as (client, address):
+                for request_id in ("new", "kept"):
+                    request = make_request(request_id)
+                    assert not request.progress.connected
+                    opened = await client.open(address, request)
+                    await opened.ok_value.body()
+                    assert request.progress.connected
+
+        run(scenario())
+
+    def test_a_refused_connection_leaves_it_unmarked(self):
+        async def scenario():
+            async with serving(lambda reader, writer: None) as (client, _):
+                request = make_request("q")
+                nowhere = ServerAddress("s", "127.0.0.1:1")
+                assert isinstance(await client.open(nowhere, request), Err)
+                assert not request.progress.connected
+
+        run(scenario())
+
+
 class TestBrokenAnswers:
     """An answer that broke off is no answer."""
 
--- a/packages/ebonylb/tests/test_forwarding.py
+++ b/packages/ebonylb/tests/test_forwarding.py
@@ -10,6 +10,7 @@
 from ebonylb.forwarding.strikes import request_fingerprint
 from ebonylb.outcomes import Outcome, StepError
 from ebonylb_standins.histories.virtual_time import run_virtual
+from ebonylb_standins.site.cut_path import PathState
 from ebonylb_standins.site.servers import EVENT_INTERVAL_MS, PlannedResponse
 from ebonylb_standins.site.world import World
 
@@ -282,6 +283,27 @@
         assert 45 <= line.elapsed_ms <= 60
 
 
+class TestUnfinishedAttempts:
+    @pytest.mark.parametrize(
+        ("cut", "stage"), [(True, "still connecting"), (False, "no answer yet")]
+    )
+    def test_log_tells_how_far_they_came(self, caplog, cut, stage):
+        """Guards against failures in the log without any cause."""
+
+        async def scenario():
+            world = World(plain_services=1)
+            vm = world.start("a")
+            world.port.servers["p0"].mode = "dark"
+            if cut:
+                vm.path.cut(PathState.HANG)
+            await serve(vm, make_request(world, path="/book/1", deadline_ms=400.0))
+
+        with caplog.at_level(logging.INFO):
+            run_virtual(scenario())
+        (line,) = [r for r in caplog.records if r.message == "request ended"]
+        assert line.causes == [f"p0: {stage}"]
+
+
 class TestStreams:
     """Requests whose responses are streams of events."""
 
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
@@ -206,6 +206,7 @@
         await self.clock.sleep_ms(1.0)
         if target.mode == "absent":
             return Err(StepError("open", server.name, "refused", False))
+        request.progress.connected = True
         target.received_requests.append(request)
         if target.mode == "dark":
             await self.clock.sleep_ms(3_600_000)
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -32,6 +32,7 @@
 from ebonylb.service.site_settings import Bounds
 
 from ..histories.virtual_time import LoopClock
+from .cut_path import CutPath
 from .recorded_port import RecordedPort
 from .row_store import MemoryRowStore, StoreData
 from .servers import FakeServer, FakeServers, PlannedResponse
@@ -135,6 +136,7 @@
     incarnation: str
     store: MemoryRowStore = field(init=False)
     port: RecordedPort = field(init=False)
+    path: CutPath = field(init=False)
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -142,11 +144,12 @@
         world = self.world
         self.port = RecordedPort(world.port, self.name, world.clock)
         world.ports.append(self.port)
+        self.path = CutPath(self.port, world.clock)
         self.store = MemoryRowStore(world.data, world.clock)
         locality = Locality(self.failure_domain, REGIONS[self.failure_domain], REGIONS)
         duties = SiteComponents(
             EntryVmIdentity(self.name, self.incarnation, locality),
-            SiteDependencies(self.store, self.port, world.clock, NullMetrics()),
+            SiteDependencies(self.store, self.path, world.clock, NullMetrics()),
             Bounds(lease_ms=world.lease_ms),
             65_536,
         )
