forwarding: a request without any connection did not run

Cause: at the deadline each attempt in progress counted as one that may have run, also one that was still connecting; a stream whose opening took too long likewise. Change: only attempts that had a connection count.

--- a/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
@@ -167,9 +167,7 @@
                     return await self.run_idempotent(state)
                 return await self.run_non_idempotent(state)
         except TimeoutError:
-            outcome = (
-                Outcome.MAY_HAVE_RUN if state.counted_attempts else Outcome.NOT_RUN
-            )
+            outcome = Outcome.MAY_HAVE_RUN if state.may_have_run else Outcome.NOT_RUN
             return make_refusal(
                 outcome, "timeout", "the time limit was reached", RETRY_AFTER_MS
             )
@@ -325,7 +323,7 @@
 
     def refuse_overloaded(self, state: RequestState) -> CallerResponse:
         """Return the refusal of a request because all servers are full."""
-        outcome = Outcome.MAY_HAVE_RUN if state.counted_attempts else Outcome.NOT_RUN
+        outcome = Outcome.MAY_HAVE_RUN if state.may_have_run else Outcome.NOT_RUN
         return make_refusal(
             outcome, "overloaded", "all servers are full", RETRY_AFTER_MS
         )
@@ -336,7 +334,7 @@
         Another entry VM may have a share of the limits left, so that the caller may
         return as soon as the servers accept the next request.
         """
-        outcome = Outcome.MAY_HAVE_RUN if state.counted_attempts else Outcome.NOT_RUN
+        outcome = Outcome.MAY_HAVE_RUN if state.may_have_run else Outcome.NOT_RUN
         if state.software_version is not None and not self.has_server(state):
             return make_refusal(
                 outcome,
--- a/packages/ebonylb/src/ebonylb/forwarding/request_state.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/request_state.py
@@ -63,6 +63,15 @@
         """Id of the caller's request that brought the first event of the stream."""
         return self.request.resumes or self.request.request_id
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any server may have got the request and not said that it did not run.
+
+        An attempt that is still connecting has sent nothing.
+        """
+        connecting = sum(not progress.connected for _, progress in self.unfinished)
+        return self.counted_attempts > connecting
+
     def all_causes(self) -> list[str]:
         """Return the causes of failed attempts, and how far unfinished ones came."""
         return self.causes + [
--- a/packages/ebonylb/src/ebonylb/forwarding/streams.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/streams.py
@@ -114,7 +114,9 @@
         async with asyncio.timeout(stall_timeout_s(forwarder, state)):
             opened = await forwarder.server_client.open(server.endpoint, request)
     except TimeoutError:
-        opened = Err(StepError("stream.open", server.name, "no response in time"))
+        cause = "no response in time"
+        connected = request.progress.connected
+        opened = Err(StepError("stream.open", server.name, cause, connected))
     state.unfinished.remove(attempt)
     return opened
 
