forwarding: runs of requests apart from routes, deadlines and logs

Change: RequestRuns runs a request on a ServerPool; DirectPool is the pool of backend servers that this entry VM reaches itself; RequestLog writes the lines of the end. Code moved only, except that the field logger of two log lines names the new module.

--- a/packages/ebonylb/src/ebonylb/forwarding/attempt.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/attempt.py
@@ -5,16 +5,12 @@
 
 from result import Err
 
-from ..fleet import ListedServer, ServerCondition, ServerDirectory
+from ..fleet import ListedServer, ServerCondition
 from ..interfaces import Clock
-from ..interfaces.server_client import (
-    ResponseHead,
-    ServerClient,
-    ServerRequest,
-    ServerResponse,
-)
+from ..interfaces.server_client import ResponseHead, ServerRequest, ServerResponse
 from ..outcomes import StepError
 from .messages import CallerResponse
+from .server_pool import ServerPool
 
 MIN_SERVER_ERROR_STATUS = 500
 SUCCESS_STATUSES = range(200, 300)
@@ -67,19 +63,15 @@
 
 
 async def send_to_server(
-    server_client: ServerClient,
-    directory: ServerDirectory,
-    clock: Clock,
-    server: ListedServer,
-    request: ServerRequest,
+    pool: ServerPool, clock: Clock, server: ListedServer, request: ServerRequest
 ) -> AttemptResult:
     """Send a request to a server and read the complete response.
 
     Cancellation closes the connection, which makes the server stop its work.
     """
-    condition = directory.condition(server.name)
+    condition = pool.condition(server)
     began_ms = clock.monotonic_ms()
-    opened = await server_client.open(server.endpoint, request)
+    opened = await pool.send(server, request)
     if isinstance(opened, Err):
         error = opened.err_value
         condition.record_failure(clock.monotonic_ms())
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/forwarding/request_runs.py
@@ -0,0 +1,316 @@
+"""Runs of single requests on the servers of one pool, by the kind of their routes."""
+
+import asyncio
+
+from result import Err
+
+from ..fleet import ListedServer
+from ..interfaces import Clock, Metrics
+from ..interfaces.server_client import ServerResponse
+from ..outcomes import Outcome, StepError
+from ..routes import RouteKind
+from .attempt import (
+    MIN_SERVER_ERROR_STATUS,
+    AttemptOutcome,
+    AttemptResult,
+    is_unverified_success,
+    send_to_server,
+)
+from .messages import CallerResponse, CallerStream, make_refusal
+from .request_log import RequestLog
+from .request_state import RequestState
+from .server_pool import ServerPool
+from .stream_origins import StreamOrigins
+from .streams import open_with_timeout, relay_stream
+from .strikes import CrashStrikes
+
+INTERNAL_ERROR = 500
+# An attempt that a server refused didn't run and doesn't count against the route's
+# attempts. The request is refused after this many of them.
+MAX_REFUSED_ATTEMPTS = 6
+# Delay before another attempt when all servers of a service were full.
+ALL_FULL_DELAY_MS = 30.0
+RETRY_AFTER_MS = 300  # a server's queue advances within about this time
+
+
+class RequestRuns:
+    """Runs requests on the servers of a pool and returns one final response for each.
+
+    Parameters
+    ----------
+    pool : ServerPool
+        Servers among which the attempts choose.
+    strikes : CrashStrikes
+        Requests that crashed servers.
+    origins : StreamOrigins
+        Software versions on which streams began.
+    clock : Clock
+        Source of time.
+    metrics : Metrics
+        Receiver of counters.
+    log : RequestLog
+        Logs requests whose callers disconnect.
+    """
+
+    def __init__(
+        self,
+        pool: ServerPool,
+        strikes: CrashStrikes,
+        origins: StreamOrigins,
+        clock: Clock,
+        metrics: Metrics,
+        log: RequestLog,
+    ) -> None:
+        self.pool = pool
+        self.strikes = strikes
+        self.origins = origins
+        self.clock = clock
+        self.metrics = metrics
+        self.log = log
+
+    async def run(self, state: RequestState) -> CallerResponse | CallerStream:
+        """Run a request according to the kind of its route."""
+        if state.route.kind is RouteKind.STREAMING:
+            return await self.open_stream(state)
+        if state.route.kind is RouteKind.IDEMPOTENT:
+            return await self.run_idempotent(state)
+        return await self.run_non_idempotent(state)
+
+    def remaining_ms(self, state: RequestState) -> float:
+        """Return the time until the request's deadline."""
+        return state.deadline_at_ms - self.clock.monotonic_ms()
+
+    def has_attempts(self, state: RequestState) -> bool:
+        """Return whether the request may have another attempt."""
+        return state.counted_attempts < self.pool.max_attempts(state.route)
+
+    def start_sending(
+        self, state: RequestState, server: ListedServer
+    ) -> asyncio.Task[AttemptResult]:
+        """Start an attempt, which counts as load of its server at once.
+
+        A burst of requests that arrive together would otherwise choose one server.
+        """
+        condition = self.pool.condition(server)
+        condition.own_requests += 1
+
+        def end_load(task: asyncio.Task[AttemptResult]) -> None:
+            condition.own_requests -= 1
+
+        task = asyncio.create_task(self.send_attempt(state, server))
+        task.add_done_callback(end_load)
+        return task
+
+    async def send_attempt(
+        self, state: RequestState, server: ListedServer
+    ) -> AttemptResult:
+        """Send a request to a server and record what became of the attempt."""
+        state.tried_servers.add(server.name)
+        state.sent_to.append(server.name)
+        request = self.pool.make_request(state, self.remaining_ms(state), None)
+        attempt = (server.name, request.progress)
+        state.unfinished.append(attempt)
+        result = await send_to_server(self.pool, self.clock, server, request)
+        state.unfinished.remove(attempt)
+        if result.cause:
+            state.causes.append(f"{server.name}: {result.cause}")
+        if result.connection_lost:
+            await self.pool.record_lost_connection(state, server)
+        return result
+
+    async def run_idempotent(self, state: RequestState) -> CallerResponse:
+        """Send an idempotent request until a server responds without a server error.
+
+        A hedged copy is sent to another server when the first one is slow.
+        """
+        hedge_at_ms = (
+            self.clock.monotonic_ms()
+            + state.route.target_latency_ms * self.pool.hedge_delay_share
+        )
+        running: set[asyncio.Task[AttemptResult]] = set()
+        last_error: CallerResponse | None = None
+        try:
+            while True:
+                if not running and (
+                    refusal := await self.start_attempt(state, running)
+                ):
+                    return last_error or refusal
+                wait_s = (hedge_at_ms - self.clock.monotonic_ms()) / 1000
+                can_hedge = (
+                    len(running) == 1
+                    and self.has_attempts(state)
+                    and not self.strikes.is_suspect(state.fingerprint)
+                )
+                done, _ = await asyncio.wait(
+                    running,
+                    timeout=max(0.0, wait_s) if can_hedge else None,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if not done:
+                    self.metrics.incr("forward.copies")
+                    await self.start_attempt(state, running)
+                    hedge_at_ms = float("inf")
+                for task in done:
+                    running.discard(task)
+                    response = self.count_attempt(state, task.result())
+                    if response is not None and response.status < 500:
+                        return response
+                    last_error = response or last_error
+        finally:
+            for task in running:
+                task.cancel()
+
+    def count_attempt(
+        self, state: RequestState, result: AttemptResult
+    ) -> CallerResponse | None:
+        """Count an attempt that ended and return its response, if there is one."""
+        if result.outcome is AttemptOutcome.NOT_RUN:
+            state.counted_attempts -= 1
+            state.refused_attempts += 1
+        elif result.response is not None and result.response.status == INTERNAL_ERROR:
+            state.internal_errors += 1
+        return result.response
+
+    async def start_attempt(
+        self, state: RequestState, running: set[asyncio.Task[AttemptResult]]
+    ) -> CallerResponse | None:
+        """Start an attempt, or return a refusal if no attempt is possible."""
+        if self.strikes.is_blocked(state.fingerprint):
+            return make_refusal(
+                Outcome.GIVEN_UP, "crashes_servers", "servers crashed while running it"
+            )
+        if not self.has_attempts(state):
+            return make_refusal(
+                Outcome.MAY_HAVE_RUN,
+                "attempts_used",
+                "no server gave a whole answer",
+            )
+        if state.refused_attempts >= MAX_REFUSED_ATTEMPTS:
+            return self.refuse_overloaded(state)
+        server = self.pool.pick(state)
+        if server is None:
+            return self.pool.refuse(state)
+        if (
+            state.refused_attempts
+            and state.refused_attempts % len(state.tried_servers) == 0
+        ):
+            await self.clock.sleep_ms(ALL_FULL_DELAY_MS)
+        state.counted_attempts += 1
+        running.add(self.start_sending(state, server))
+        return None
+
+    def refuse_overloaded(self, state: RequestState) -> CallerResponse:
+        """Return the refusal of a request because all servers are full."""
+        outcome = Outcome.MAY_HAVE_RUN if state.may_have_run else Outcome.NOT_RUN
+        return make_refusal(
+            outcome, "overloaded", "all servers are full", RETRY_AFTER_MS
+        )
+
+    async def run_non_idempotent(self, state: RequestState) -> CallerResponse:
+        """Send a non-idempotent request, and again only if it did not run."""
+        while True:
+            if state.refused_attempts >= MAX_REFUSED_ATTEMPTS:
+                return self.refuse_overloaded(state)
+            server = self.pool.pick(state)
+            if server is None:
+                return self.pool.refuse(state)
+            state.counted_attempts += 1
+            result = await self.start_sending(state, server)
+            if result.outcome is AttemptOutcome.RESPONDED:
+                return result.response
+            if result.outcome is AttemptOutcome.MAY_HAVE_RUN:
+                return make_refusal(
+                    Outcome.MAY_HAVE_RUN,
+                    "answer_lost",
+                    "the server gave no whole answer",
+                )
+            state.counted_attempts -= 1
+            state.refused_attempts += 1
+
+    async def open_stream(self, state: RequestState) -> CallerResponse | CallerStream:
+        """Open a stream; the deadline applies only until the response head arrives."""
+        required = await self.origins.required_version(state.request, state.service)
+        if isinstance(required, Err):
+            return required.err_value
+        state.software_version = required.ok_value
+        while True:
+            if state.refused_attempts >= MAX_REFUSED_ATTEMPTS:
+                return self.refuse_overloaded(state)
+            server = self.pool.pick(state)
+            if server is None:
+                return self.pool.refuse(state)
+            state.tried_servers.add(server.name)
+            state.sent_to.append(server.name)
+            state.counted_attempts += 1
+            opened = await open_with_timeout(
+                self, state, server, state.request.resume_after
+            )
+            if isinstance(opened, Err):
+                refusal = self.record_open_failure(state, server, opened.err_value)
+                if refusal is not None:
+                    return refusal
+                continue
+            response = opened.ok_value
+            head = response.head
+            if head.not_run:
+                response.close()
+                state.counted_attempts -= 1
+                state.refused_attempts += 1
+                continue
+            if head.status >= MIN_SERVER_ERROR_STATUS or is_unverified_success(head):
+                condition = self.pool.condition(server)
+                condition.update_failure_share(1.0, self.clock.monotonic_ms())
+                state.causes.append(f"{server.name}: status {head.status}")
+                if state.route.resumable and self.has_attempts(state):
+                    response.close()
+                    continue
+            if head.status >= 300 or not head.sealed:
+                return await self.read_error_response(state, response)
+            chunks = relay_stream(self, state, server, response)
+            return CallerStream(head.status, head.headers, chunks)
+
+    def record_open_failure(
+        self, state: RequestState, server: ListedServer, error: StepError
+    ) -> CallerResponse | None:
+        """Record a stream that could not be opened.
+
+        Returns
+        -------
+        CallerResponse or None
+            The refusal of the request; None if another attempt is allowed.
+        """
+        state.causes.append(str(error))
+        condition = self.pool.condition(server)
+        condition.record_failure(self.clock.monotonic_ms())
+        if not error.may_have_run:
+            state.counted_attempts -= 1
+            state.refused_attempts += 1
+            return None
+        if state.route.resumable and self.has_attempts(state):
+            return None
+        return make_refusal(
+            Outcome.MAY_HAVE_RUN, "answer_lost", "the stream did not begin"
+        )
+
+    async def read_error_response(
+        self, state: RequestState, response: ServerResponse
+    ) -> CallerResponse:
+        """Return a server's error response in place of a stream.
+
+        Return a refusal if the response ended early or is a success without a seal.
+        """
+        head = response.head
+        try:
+            body = await response.body()
+        except StepError as error:
+            state.causes.append(str(error))
+            return make_refusal(
+                Outcome.MAY_HAVE_RUN, "answer_lost", "the answer ended early"
+            )
+        finally:
+            response.close()
+        if head.status < 300:
+            return make_refusal(
+                Outcome.MAY_HAVE_RUN, "answer_lost", "answer without seal"
+            )
+        return CallerResponse(head.status, head.headers, body)
--- a/packages/ebonylb/src/ebonylb/forwarding/streams.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/streams.py
@@ -12,7 +12,8 @@
 from ..outcomes import StepError
 
 if TYPE_CHECKING:
-    from .forwarder import Forwarder, RequestState
+    from .request_runs import RequestRuns
+    from .request_state import RequestState
 
 logger = logging.getLogger(__name__)
 
@@ -39,26 +40,19 @@
     """A stream cannot begin on a server although the server is sound."""
 
 
-def can_continue_elsewhere(forwarder: "Forwarder", state: "RequestState") -> bool:
+def can_continue_elsewhere(runs: "RequestRuns", state: "RequestState") -> bool:
     """Return whether another server can continue a stream better than its own.
 
-    The last attempt stays where it is, and so does a stream whose other servers have
-    all failed a moment ago.
+    The last attempt stays where it is.
     """
-    if not state.route.resumable or state.counted_attempts >= state.route.attempts:
-        return False
-    now = forwarder.clock.monotonic_ms()
-    directory = forwarder.directory
-    return any(
-        server.name != state.sent_to[-1]
-        and state.software_version in (None, server.software_version)
-        and not directory.condition(server.name).is_backing_off(now)
-        and forwarder.selector.limits.can_send(server)
-        for server in directory.ready(state.service)
+    return (
+        state.route.resumable
+        and runs.has_attempts(state)
+        and runs.pool.can_continue_elsewhere(state)
     )
 
 
-def stall_timeout_s(forwarder: "Forwarder", state: "RequestState") -> float:
+def stall_timeout_s(runs: "RequestRuns", state: "RequestState") -> float:
     """Return the time to wait for a server's next event, in seconds.
 
     Only events count as progress, so that comments or parts of an event do not extend
@@ -66,14 +60,14 @@
     for as long as its caller waits for an event.
     """
     target_latency_ms = state.route.target_latency_ms
-    remaining_ms = forwarder.remaining_ms(state)
+    remaining_ms = runs.remaining_ms(state)
     stall_timeout_ms = max(
         MIN_STALL_TIMEOUT_MS,
         STALL_TIMEOUT_IN_TARGET_LATENCIES * target_latency_ms,
-        STALL_TIMEOUT_IN_GAPS * forwarder.selector.median_gap_ms(state.service),
+        STALL_TIMEOUT_IN_GAPS * runs.pool.median_gap_ms(state.service),
     )
     # Another server needs time, too.
-    if stall_timeout_ms < remaining_ms and can_continue_elsewhere(forwarder, state):
+    if stall_timeout_ms < remaining_ms and can_continue_elsewhere(runs, state):
         return stall_timeout_ms / 1000
     abandon_timeout_ms = max(
         MIN_ABANDON_TIMEOUT_MS,
@@ -101,18 +95,19 @@
 
 
 async def open_with_timeout(
-    forwarder: "Forwarder",
+    runs: "RequestRuns",
     state: "RequestState",
     server: ListedServer,
     last_number: int | None,
 ) -> Result[ServerResponse, StepError]:
     """Open a stream on a server, or return an error if its head comes too late."""
-    request = state.request.for_server(forwarder.remaining_ms(state), last_number)
+    remaining_ms = runs.remaining_ms(state)
+    request = runs.pool.make_request(state, remaining_ms, last_number)
     attempt = (server.name, request.progress)
     state.unfinished.append(attempt)
     try:
-        async with asyncio.timeout(stall_timeout_s(forwarder, state)):
-            opened = await forwarder.server_client.open(server.endpoint, request)
+        async with asyncio.timeout(stall_timeout_s(runs, state)):
+            opened = await runs.pool.send(server, request)
     except TimeoutError:
         cause = "no response in time"
         connected = request.progress.connected
@@ -122,7 +117,7 @@
 
 
 async def read_next_event(
-    forwarder: "Forwarder",
+    runs: "RequestRuns",
     state: "RequestState",
     server: ListedServer,
     blocks: AsyncIterator[tuple[int, bytes]],
@@ -135,14 +130,14 @@
         The stream broke, or the server sent no event in time.
     """
     try:
-        async with asyncio.timeout(stall_timeout_s(forwarder, state)):
+        async with asyncio.timeout(stall_timeout_s(runs, state)):
             return await anext(blocks, None)
     except TimeoutError as error:
         raise StepError("stream.stall", server.name, "no event in time") from error
 
 
 async def relay_stream(
-    forwarder: "Forwarder",
+    runs: "RequestRuns",
     state: "RequestState",
     server: ListedServer,
     response: ServerResponse,
@@ -155,20 +150,20 @@
     """
     last_number = state.request.resume_after or 0
     while True:
-        condition = forwarder.directory.condition(server.name)
+        condition = runs.pool.condition(server)
         condition.own_requests += 1
         last_event_ms: float | None = None
         if state.software_versions:
-            forwarder.origins.add_open(state.stream_id, state.service, server)
+            runs.origins.add_open(state.stream_id, state.service, server)
         try:
             blocks = response.raw_events()
             while (
-                received := await read_next_event(forwarder, state, server, blocks)
+                received := await read_next_event(runs, state, server, blocks)
             ) is not None:
                 number, block = received
-                now = forwarder.clock.monotonic_ms()
+                now = runs.clock.monotonic_ms()
                 if last_event_ms is not None:
-                    median_gap_ms = forwarder.selector.median_gap_ms(state.service)
+                    median_gap_ms = runs.pool.median_gap_ms(state.service)
                     condition.record_gap(now - last_event_ms, median_gap_ms, now)
                 last_event_ms = now
                 if number != last_number + 1:
@@ -178,17 +173,17 @@
                         f"event {number} after {last_number}",
                     )
                 if state.software_version is None or not state.software_versions:
-                    await begin_on_version(forwarder, state, server)
+                    await begin_on_version(runs, state, server)
                 last_number = number
                 if server.software_version not in state.software_versions:
                     state.software_versions.append(server.software_version)
                 yield block
-            condition.record_success(forwarder.clock.monotonic_ms())
+            condition.record_success(runs.clock.monotonic_ms())
             log_stream_end(state, last_number, complete=True)
             return
         except StepError as error:
             if not isinstance(error, OriginNotStoredError):
-                condition.record_failure(forwarder.clock.monotonic_ms())
+                condition.record_failure(runs.clock.monotonic_ms())
             logger.warning(
                 "stream broke",
                 extra={
@@ -202,18 +197,18 @@
                 log_stream_end(state, last_number, complete=False)
                 raise
         except (asyncio.CancelledError, GeneratorExit):
-            forwarder.log_abandoned(state)
+            runs.log.log_abandoned(state)
             log_stream_end(state, last_number, complete=False)
             raise
         finally:
             condition.own_requests -= 1
-            forwarder.origins.end(state.stream_id)
+            runs.origins.end(state.stream_id)
             response.close()
-        server, response = await resume_stream(forwarder, state, last_number)
+        server, response = await resume_stream(runs, state, last_number)
 
 
 async def begin_on_version(
-    forwarder: "Forwarder", state: "RequestState", server: ListedServer
+    runs: "RequestRuns", state: "RequestState", server: ListedServer
 ) -> None:
     """Bind a stream to the software version of its server, before its first event.
 
@@ -225,9 +220,9 @@
     """
     if state.request.resume_after and state.software_version is not None:
         return
-    is_recorded = await forwarder.origins.begin(state.stream_id, state.service, server)
+    is_recorded = await runs.origins.begin(state.stream_id, state.service, server)
     if not is_recorded and state.route.resumable:
-        state.software_version = forwarder.origins.former_version(state.service)
+        state.software_version = runs.origins.former_version(state.service)
         raise OriginNotStoredError(
             "stream.origin", server.name, "software version not stored"
         )
@@ -235,25 +230,25 @@
 
 
 async def pick_server_for_rest(
-    forwarder: "Forwarder", state: "RequestState"
+    runs: "RequestRuns", state: "RequestState"
 ) -> ListedServer | None:
     """Return a server for the rest of a stream, waiting for room in the limits."""
-    give_up_ms = forwarder.clock.monotonic_ms() + MAX_LIMIT_WAIT_MS
-    server = forwarder.pick_server(state)
+    give_up_ms = runs.clock.monotonic_ms() + MAX_LIMIT_WAIT_MS
+    server = runs.pool.pick(state)
     if server is None:
-        forwarder.selector.limits.record_unmet(state.service)
+        runs.pool.record_unmet(state)
     while (
         server is None
-        and forwarder.has_server(state)
-        and forwarder.clock.monotonic_ms() < give_up_ms
+        and runs.pool.has_server(state)
+        and runs.clock.monotonic_ms() < give_up_ms
     ):
-        await forwarder.clock.sleep_ms(LIMIT_CHECK_INTERVAL_MS)
-        server = forwarder.pick_server(state)
+        await runs.clock.sleep_ms(LIMIT_CHECK_INTERVAL_MS)
+        server = runs.pool.pick(state)
     return server
 
 
 async def resume_stream(
-    forwarder: "Forwarder", state: "RequestState", last_number: int
+    runs: "RequestRuns", state: "RequestState", last_number: int
 ) -> tuple[ListedServer, ServerResponse]:
     """Open the rest of a stream on another server.
 
@@ -262,17 +257,14 @@
     StepError
         No attempts or time are left, or no server is available.
     """
-    while (
-        state.counted_attempts < state.route.attempts
-        and forwarder.remaining_ms(state) > 0
-    ):
-        server = await pick_server_for_rest(forwarder, state)
+    while runs.has_attempts(state) and runs.remaining_ms(state) > 0:
+        server = await pick_server_for_rest(runs, state)
         if server is None:
             break
         state.tried_servers.add(server.name)
         state.sent_to.append(server.name)
         state.counted_attempts += 1
-        opened = await open_with_timeout(forwarder, state, server, last_number)
+        opened = await open_with_timeout(runs, state, server, last_number)
         if isinstance(opened, Err):
             state.causes.append(str(opened.err_value))
             continue
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -18,7 +18,7 @@
 from ..batches.rows import PROGRESS_TABLE
 from ..fleet import DepartureNotingClient, ServerDirectory, ServerSelector
 from ..fleet.selector import Locality
-from ..forwarding import Forwarder
+from ..forwarding import DirectPool, Forwarder, RequestLog, RequestRuns
 from ..forwarding.stream_origins import StreamOrigins
 from ..forwarding.strikes import TABLE as STRIKES_TABLE
 from ..forwarding.strikes import CrashStrikes
@@ -100,7 +100,7 @@
         self.identity = identity
         self.dependencies = dependencies
         self.bounds = bounds
-        clock, metrics = dependencies.clock, dependencies.metrics
+        clock = dependencies.clock
         self.store_time = StoreTime(clock)
         self.routes = RouteTable()
         self.directory = ServerDirectory(clock)
@@ -115,16 +115,7 @@
         )
         self.strikes = CrashStrikes(dependencies.store, clock)
         self.stream_origins = StreamOrigins(dependencies.store, clock, self.directory)
-        self.forwarder = Forwarder(
-            self.routes,
-            self.directory,
-            self.selector,
-            self.server_client,
-            self.strikes,
-            self.stream_origins,
-            clock,
-            metrics,
-        )
+        self.build_forwarder()
         self.build_orders()
         self.build_batches(row_bytes)
 
@@ -151,6 +142,16 @@
         self.limit_gate.shares = self.limit_shares
         self.limit_shares.follower = self.make_follower(LIMITS_TABLE, self.limit_shares)
 
+    def build_forwarder(self) -> None:
+        """Build the forwarder of single requests."""
+        clock, metrics = self.dependencies.clock, self.dependencies.metrics
+        log = RequestLog(self.routes, clock, metrics)
+        pool = DirectPool(
+            self.directory, self.selector, self.server_client, self.strikes
+        )
+        runs = RequestRuns(pool, self.strikes, self.stream_origins, clock, metrics, log)
+        self.forwarder = Forwarder(self.routes, runs, self.strikes, clock, log)
+
     def build_orders(self) -> None:
         """Build the controller of weight orders and its leases."""
         dependencies = self.dependencies
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/broken.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/broken.py
@@ -11,7 +11,7 @@
 
 from ebonylb.batches import item_run, repository, rows
 from ebonylb.fleet import directory
-from ebonylb.forwarding import attempt, forwarder, stream_origins
+from ebonylb.forwarding import attempt, request_runs, stream_origins
 from ebonylb.limits import shares
 from ebonylb.orders import leases
 from ebonylb.service.site_main import main
@@ -19,7 +19,9 @@
 
 def repeat_bookings() -> None:
     """Send a non-idempotent request again after a broken response."""
-    forwarder.Forwarder.run_non_idempotent = forwarder.Forwarder.run_idempotent
+    request_runs.RequestRuns.run_non_idempotent = (
+        request_runs.RequestRuns.run_idempotent
+    )
 
 
 def call_broken_not_run() -> None:
