fleet: an entry VM knows whether it reaches any backend server; a cut is no crash

Cause: a lost connection to a server that accepts no new one counted as a crash of that server. No code knew the state that this entry VM reaches no server at all; each judged single servers. Change: ServerReachability opens connections to the server that answered last and to four others when a connection is slow, fails or breaks, or all servers are silent while requests run; it logs and counts the state, repeats the check twice a second while cut off, and afterwards forgets the failures that the cut has caused. A crash counts only if another server is reachable.

--- a/packages/ebonylb/src/ebonylb/adapters/connections.py
+++ b/packages/ebonylb/src/ebonylb/adapters/connections.py
@@ -13,6 +13,8 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import set_exception
 
+from ..interfaces.server_client import ServerActivity
+
 # Bytes that a connection accepts without a byte of a body: the head of a response with
 # its interim responses, or chunk extensions and trailers.
 MAX_BYTES_WITHOUT_BODY = 65_536
@@ -21,6 +23,11 @@
 class StrictConnection(ResponseHandler):
     """Connection whose unfinished, unexpected or endless responses are never used.
 
+    Parameters
+    ----------
+    activity : ServerActivity
+        Records when bytes arrive.
+
     Attributes
     ----------
     bytes_without_body : int
@@ -29,6 +36,12 @@
 
     bytes_without_body = 0
 
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, activity: ServerActivity
+    ) -> None:
+        super().__init__(loop)
+        self.activity = activity
+
     def set_response_params(self, **options: object) -> None:
         """Prepare for the response to the next request."""
         self.bytes_without_body = 0
@@ -36,6 +49,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, and abort the connection if no body comes of them."""
+        self.activity.last_received_ms = self._loop.time() * 1000
         body, body_bytes = self.read_progress()
         super().data_received(data)
         if self.read_progress() != (body, body_bytes):
@@ -78,9 +92,16 @@
 
     It accepts the parameters of `aiohttp.TCPConnector` and must be created in a
     running event loop.
+
+    Attributes
+    ----------
+    activity : ServerActivity
+        Time of the last byte on any connection.
     """
 
     def __init__(self, **options: object) -> None:
         super().__init__(**options)
-        loop = asyncio.get_running_loop()
-        self._factory = functools.partial(StrictConnection, loop=loop)
+        self.activity = ServerActivity()
+        self._factory = functools.partial(
+            StrictConnection, asyncio.get_running_loop(), self.activity
+        )
--- a/packages/ebonylb/src/ebonylb/fleet/__init__.py
+++ b/packages/ebonylb/src/ebonylb/fleet/__init__.py
@@ -4,6 +4,8 @@
 from .departure_noting import DepartureNotingClient
 from .directory import ServerDirectory
 from .model import ListedServer, ServerStage
+from .reachability import ServerReachability
+from .reachability_noting import ReachabilityNotingClient
 from .selector import ServerSelector, distance_of
 from .sending_limits import NoSendingLimits, SendingLimits
 
@@ -11,9 +13,11 @@
     "DepartureNotingClient",
     "ListedServer",
     "NoSendingLimits",
+    "ReachabilityNotingClient",
     "SendingLimits",
     "ServerCondition",
     "ServerDirectory",
+    "ServerReachability",
     "ServerSelector",
     "ServerStage",
     "distance_of",
--- a/packages/ebonylb/src/ebonylb/fleet/condition.py
+++ b/packages/ebonylb/src/ebonylb/fleet/condition.py
@@ -145,6 +145,12 @@
         self.backoff_until_ms = now_ms + backoff_ms
         self.update_failure_share(1.0, now_ms)
 
+    def forget_failures(self) -> None:
+        """Forget all failures, which were not the server's own."""
+        self.consecutive_failures = 0
+        self.backoff_until_ms = -1e12
+        self.failure_share = 0.0
+
     def update_failure_share(self, outcome: float, now_ms: float) -> None:
         """Add an outcome to the moving average: 1 for a failure, 0 for a success."""
         decayed_share = self.decayed_failure_share(now_ms)
--- a/packages/ebonylb/src/ebonylb/fleet/directory.py
+++ b/packages/ebonylb/src/ebonylb/fleet/directory.py
@@ -190,6 +190,11 @@
         condition = self.conditions.get(name)
         return condition if condition is not None else ServerCondition()
 
+    def forget_failures(self) -> None:
+        """Forget failures of all servers that a cut of this entry VM has caused."""
+        for condition in self.conditions.values():
+            condition.forget_failures()
+
     def ready(self, service: str) -> list[ListedServer]:
         """Return the servers of a service that take new work.
 
--- a/packages/ebonylb/src/ebonylb/forwarding/direct_pool.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/direct_pool.py
@@ -2,7 +2,13 @@
 
 from result import Result
 
-from ..fleet import ListedServer, ServerCondition, ServerDirectory, ServerSelector
+from ..fleet import (
+    ListedServer,
+    ServerCondition,
+    ServerDirectory,
+    ServerReachability,
+    ServerSelector,
+)
 from ..interfaces.server_client import ServerClient, ServerRequest, ServerResponse
 from ..outcomes import Outcome, StepError
 from ..routes import Route
@@ -32,6 +38,8 @@
         Connections to servers.
     strikes : CrashStrikes
         Requests that crashed servers.
+    reachability : ServerReachability
+        Tells a crashed server from a partition of this entry VM.
     """
 
     def __init__(
@@ -40,11 +48,13 @@
         selector: ServerSelector,
         server_client: ServerClient,
         strikes: CrashStrikes,
+        reachability: ServerReachability,
     ) -> None:
         self.directory = directory
         self.selector = selector
         self.server_client = server_client
         self.strikes = strikes
+        self.reachability = reachability
 
     @property
     def hedge_delay_share(self) -> float:
@@ -145,9 +155,11 @@
     async def record_lost_connection(
         self, state: RequestState, server: ListedServer
     ) -> None:
-        """Record a crash of the server if it cannot be reached any more."""
-        if state.fingerprint is not None and not await self.server_client.is_reachable(
-            server.endpoint
+        """Record a crash of the server if it cannot be reached, but others can."""
+        if (
+            state.fingerprint is not None
+            and not await self.server_client.is_reachable(server.endpoint)
+            and await self.reachability.check()
         ):
             self.strikes.record_crash(
                 state.fingerprint, f"{server.name}.{server.started_ms}"
--- a/packages/ebonylb/src/ebonylb/interfaces/server_client.py
+++ b/packages/ebonylb/src/ebonylb/interfaces/server_client.py
@@ -30,6 +30,19 @@
     started_ms: int | None = None
 
 
+@dataclass(slots=True)
+class ServerActivity:
+    """What the connections to all servers together have received; set by the client.
+
+    Attributes
+    ----------
+    last_received_ms : float
+        Monotonic time of the last byte from any server.
+    """
+
+    last_received_ms: float = -1e12
+
+
 @dataclass(slots=True, eq=False)
 class SendProgress:
     """How far the sending of one request has come; updated by the client.
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -107,7 +107,13 @@
         )
         self.components = SiteComponents(
             EntryVmIdentity(self.settings.name, self.incarnation, locality),
-            SiteDependencies(self.store, self.server_client, self.clock, self.metrics),
+            SiteDependencies(
+                self.store,
+                self.server_client,
+                server_session.connector.activity,
+                self.clock,
+                self.metrics,
+            ),
             self.settings.bounds,
             self.settings.row_bytes,
         )
@@ -209,6 +215,7 @@
             "batches.unfinished_items": sum(unfinished_counts),
             "batches.items_waiting": len(components.placement.waiters),
             "servers.listed": len(components.directory.servers),
+            "servers.cut_off": float(components.reachability.is_cut_off),
             "store.calls": self.store.call_count,
             "store.lost": float(not self.readiness.is_store_current()),
             "logs.dropped": self.log_handler.dropped_count if self.log_handler else 0,
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -16,7 +16,13 @@
     ScoringQueue,
 )
 from ..batches.rows import PROGRESS_TABLE
-from ..fleet import DepartureNotingClient, ServerDirectory, ServerSelector
+from ..fleet import (
+    DepartureNotingClient,
+    ReachabilityNotingClient,
+    ServerDirectory,
+    ServerReachability,
+    ServerSelector,
+)
 from ..fleet.selector import Locality
 from ..forwarding import DirectPool, Forwarder, RequestLog, RequestRuns
 from ..forwarding.stream_origins import StreamOrigins
@@ -24,7 +30,7 @@
 from ..forwarding.strikes import CrashStrikes
 from ..interfaces import Clock, Metrics
 from ..interfaces.row_store import RowStore
-from ..interfaces.server_client import ServerClient
+from ..interfaces.server_client import ServerActivity, ServerClient
 from ..limits import (
     LimitGate,
     LimitNotingClient,
@@ -54,6 +60,8 @@
         The platform's store.
     server_client : ServerClient
         Backend servers.
+    server_activity : ServerActivity
+        What the connections of `server_client` receive.
     clock : Clock
         Source of time.
     metrics : Metrics
@@ -62,6 +70,7 @@
 
     store: RowStore
     server_client: ServerClient
+    server_activity: ServerActivity
     clock: Clock
     metrics: Metrics
 
@@ -104,12 +113,21 @@
         self.store_time = StoreTime(clock)
         self.routes = RouteTable()
         self.directory = ServerDirectory(clock)
+        self.reachability = ServerReachability(
+            self.directory,
+            dependencies.server_client,
+            dependencies.server_activity,
+            clock,
+        )
         self.build_limits()
         self.selector = ServerSelector(
             self.directory, clock, identity.locality, self.limit_gate
         )
         self.server_client = LimitNotingClient(
-            DepartureNotingClient(dependencies.server_client, self.directory),
+            DepartureNotingClient(
+                ReachabilityNotingClient(dependencies.server_client, self.reachability),
+                self.directory,
+            ),
             self.limit_gate,
             self.limit_registry,
         )
@@ -147,7 +165,11 @@
         clock, metrics = self.dependencies.clock, self.dependencies.metrics
         log = RequestLog(self.routes, clock, metrics)
         pool = DirectPool(
-            self.directory, self.selector, self.server_client, self.strikes
+            self.directory,
+            self.selector,
+            self.server_client,
+            self.strikes,
+            self.reachability,
         )
         runs = RequestRuns(pool, self.strikes, self.stream_origins, clock, metrics, log)
         self.forwarder = Forwarder(self.routes, runs, self.strikes, clock, log)
@@ -237,6 +259,7 @@
         )
         return {
             **{f"follow {follower.table}": follower.run for follower in followers},
+            "reachability": self.reachability.watch,
             "limits": self.limit_shares.run,
             "stream origins": self.stream_origins.delete_expired,
             "orders": self.order_controller.run,
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/cut_path.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/cut_path.py
@@ -10,6 +10,7 @@
 from ebonylb.interfaces import Clock
 from ebonylb.interfaces.server_client import (
     OrderResponse,
+    ServerActivity,
     ServerAddress,
     ServerClient,
     ServerReport,
@@ -95,6 +96,8 @@
         Number of idle open connections to each server.
     resets : int
         Number of times that all open connections were reset.
+    activity : ServerActivity
+        Time of the last byte that got through.
     """
 
     def __init__(self, client: ServerClient, clock: Clock) -> None:
@@ -103,6 +106,7 @@
         self.state = PathState.SOUND
         self.kept: Counter[str] = Counter()
         self.resets = 0
+        self.activity = ServerActivity()
         self.healed = asyncio.Event()
 
     def cut(self, state: PathState) -> None:
@@ -118,8 +122,8 @@
         self.state = PathState.SOUND
         self.healed.set()
 
-    async def deliver(self, server: str, resets: int) -> None:
-        """Wait until a byte on a connection of the time of `resets` has arrived."""
+    async def pass_through(self, server: str, resets: int) -> None:
+        """Wait until a connection of the time of `resets` lets bytes through."""
         if self.state is PathState.HANG:
             try:
                 async with asyncio.timeout(USER_TIMEOUT_MS / 1000):
@@ -129,6 +133,11 @@
         if resets != self.resets:
             raise StepError("stream", server, "connection reset")
 
+    async def deliver(self, server: str, resets: int) -> None:
+        """Receive a byte, once the connection lets it through."""
+        await self.pass_through(server, resets)
+        self.activity.last_received_ms = self.clock.monotonic_ms()
+
     async def connect(self, server: str) -> bool:
         """Open a connection and return whether that succeeded."""
         if self.state in (PathState.HANG, PathState.RESET):
@@ -150,7 +159,7 @@
         request.progress.connected = True
         resets = self.resets
         try:
-            await self.deliver(server.name, resets)
+            await self.pass_through(server.name, resets)
             opened = await self.client.open(server, request)
             await self.deliver(server.name, resets)
         except StepError as error:
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -149,7 +149,9 @@
         locality = Locality(self.failure_domain, REGIONS[self.failure_domain], REGIONS)
         duties = SiteComponents(
             EntryVmIdentity(self.name, self.incarnation, locality),
-            SiteDependencies(self.store, self.path, world.clock, NullMetrics()),
+            SiteDependencies(
+                self.store, self.path, self.path.activity, world.clock, NullMetrics()
+            ),
             Bounds(lease_ms=world.lease_ms),
             65_536,
         )
