relay: an entry VM that reaches no server passes requests on to another one

What callers saw: at entry VMs cut off from all backend servers 0 of 60 first tries were served, at the others, which reach the same servers, 25 of 31. Cause: the servers of the list were the only way a request could take, whatever the entry VM knew of its own connections. Class of fault: a failure that all peers of a process share is taken for many failures of single peers. Change: FailoverRuns runs a request on the servers, or, while cut off, on a pool of entry VMs that tell in the store that they reach servers (relay/). Requests under way move when the cut is known: at once without a connection, after 0.3 s if they may be repeated; streams go on at the next event. A request that may run once and has had a connection stays where it is. The entry VM asked runs the request like its own, never passes it on again, and names the server, so that leaving and limits hold at the one that answers the caller, too. With no entry VM that reaches servers the request is refused at once as not run.

--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/adapters/relay_http.py
@@ -0,0 +1,200 @@
+"""Requests between entry VMs over HTTP.
+
+The request is one msgpack value in the body of a POST. The response is a sequence of
+frames, each with its length in four bytes: first the head as a msgpack value, then the
+body, or each event of a stream, and at last an empty frame. Without that frame the
+response broke off.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import aiohttp
+import msgspec
+from aiohttp import web
+from result import Err, Ok, Result
+
+from ..interfaces.relay import RelayClient, RelayedRequest
+from ..interfaces.server_client import (
+    ResponseHead,
+    ServerAddress,
+    ServerResponse,
+    StreamEvent,
+)
+from ..outcomes import StepError
+from ..relay.receiver import RelayedAnswer
+from .http import NOT_SENT_ERRORS, describe_error
+
+RELAY_PATH = "/relay"
+# An entry VM accepts a connection within about 30 ms, also in other regions.
+CONNECT_TIMEOUT_S = 0.3
+LENGTH_BYTES = 4
+MAX_HEAD_BYTES = 1_048_576
+# A body of the largest size, and an event of any size that a server may send.
+MAX_FRAME_BYTES = 33_554_432
+
+encoder = msgspec.msgpack.Encoder()
+request_decoder = msgspec.msgpack.Decoder(RelayedRequest)
+head_decoder = msgspec.msgpack.Decoder(ResponseHead)
+
+
+def make_frame(data: bytes) -> bytes:
+    """Return data with its length."""
+    return len(data).to_bytes(LENGTH_BYTES, "big") + data
+
+
+class RelayResponse(ServerResponse):
+    """Response of another entry VM that is still being received."""
+
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        peer: str,
+        head: ResponseHead,
+        first_event: int,
+    ) -> None:
+        self.response = response
+        self.peer = peer
+        self.head = head
+        self.first_event = first_event
+
+    async def read_frame(self) -> bytes:
+        """Return the next frame; raise `StepError` if the response broke off."""
+        try:
+            return await read_frame(self.response, MAX_FRAME_BYTES)
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            raise StepError("relay.read", self.peer, describe_error(error)) from error
+
+    async def body(self) -> bytes:
+        """Read the complete body."""
+        data = bytearray()
+        while frame := await self.read_frame():
+            data += frame
+        return bytes(data)
+
+    async def raw_events(self) -> AsyncIterator[tuple[int, bytes]]:
+        """Iterate over complete events as (number, bytes as sent)."""
+        number = self.first_event
+        while block := await self.read_frame():
+            yield number, block
+            number += 1
+
+    def events(self) -> AsyncIterator[StreamEvent]:
+        """Items of batches are not relayed, so that nobody decodes these events."""
+        raise NotImplementedError
+
+    def close(self) -> None:
+        """Close the connection unless the response was read to its end."""
+        if not self.response.closed:
+            self.response.close()
+
+
+async def read_frame(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
+    """Return one frame; raise `ValueError` if it is too large or incomplete."""
+    try:
+        length = int.from_bytes(await response.content.readexactly(LENGTH_BYTES), "big")
+        if length > max_bytes:
+            raise ValueError(f"frame of {length} bytes")
+        return await response.content.readexactly(length)
+    except asyncio.IncompleteReadError as error:
+        raise ValueError("the response broke off") from error
+
+
+class HttpRelayClient(RelayClient):
+    """Client of other entry VMs over persistent connections.
+
+    Parameters
+    ----------
+    session : aiohttp.ClientSession
+        Owned by the caller; must be traced like that of `HttpServerClient`.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self.session = session
+
+    async def open(
+        self, entry_vm: ServerAddress, request: RelayedRequest
+    ) -> Result[ServerResponse, StepError]:
+        """Pass a request on and return the response once its head has arrived."""
+        try:
+            response = await self.session.post(
+                f"http://{entry_vm.address}{RELAY_PATH}",
+                data=encoder.encode(request),
+                timeout=aiohttp.ClientTimeout(
+                    total=None, sock_connect=CONNECT_TIMEOUT_S
+                ),
+                trace_request_ctx=request.progress,
+            )
+            head = await self.read_head(response)
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            may_have_run = not isinstance(error, NOT_SENT_ERRORS)
+            cause = describe_error(error)
+            return Err(StepError("relay.open", entry_vm.name, cause, may_have_run))
+        first_event = (request.resume_after or 0) + 1
+        return Ok(RelayResponse(response, entry_vm.name, head, first_event))
+
+    async def read_head(self, response: aiohttp.ClientResponse) -> ResponseHead:
+        """Return the head; otherwise close the response and raise `ValueError`."""
+        try:
+            if response.status != 200:
+                raise ValueError(f"HTTP status {response.status}")
+            return head_decoder.decode(await read_frame(response, MAX_HEAD_BYTES))
+        except msgspec.MsgspecError as error:
+            response.close()
+            raise ValueError(f"malformed head: {error}") from error
+        except BaseException:
+            response.close()
+            raise
+
+
+class RelayHandler:
+    """Handler of requests from other entry VMs.
+
+    Parameters
+    ----------
+    serve : callable
+        Runs a request and returns its answer.
+    """
+
+    def __init__(
+        self, serve: Callable[[RelayedRequest], Awaitable[RelayedAnswer]]
+    ) -> None:
+        self.serve = serve
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Respond to one request."""
+        if request.path != RELAY_PATH or request.method != "POST":
+            return web.Response(status=404)
+        try:
+            relayed = request_decoder.decode(await request.read())
+        except msgspec.MsgspecError as error:
+            return web.Response(status=400, text=str(error))
+        answer = await self.serve(relayed)
+        if answer.chunks is not None:
+            return await self.send_stream(request, answer)
+        frames = [encoder.encode(answer.head), b""]
+        if answer.body:
+            frames.insert(1, answer.body)
+        return web.Response(body=b"".join(make_frame(frame) for frame in frames))
+
+    async def send_stream(
+        self, request: web.BaseRequest, answer: RelayedAnswer
+    ) -> web.StreamResponse:
+        """Send the events of a stream; a broken one ends without its last frame."""
+        assert answer.chunks is not None
+        response = web.StreamResponse()
+        response.enable_chunked_encoding()
+        try:
+            await response.prepare(request)
+            await response.write(make_frame(encoder.encode(answer.head)))
+            async for chunk in answer.chunks:
+                await response.write(make_frame(chunk))
+        except StepError as error:
+            if request.transport is not None:
+                request.transport.abort()
+            raise asyncio.CancelledError from error
+        finally:
+            await answer.chunks.aclose()
+        await response.write(make_frame(b""))
+        await response.write_eof()
+        return response
--- a/packages/ebonylb/src/ebonylb/fleet/reachability.py
+++ b/packages/ebonylb/src/ebonylb/fleet/reachability.py
@@ -50,8 +50,8 @@
 
     Attributes
     ----------
-    is_cut_off : bool
-        Whether the last check found no reachable server.
+    cut_off : asyncio.Event
+        Set while the last check has found no reachable server.
     in_progress : int
         Number of requests to servers in progress.
     last_connected : str
@@ -71,7 +71,7 @@
         self.server_client = server_client
         self.activity = activity
         self.clock = clock
-        self.is_cut_off = False
+        self.cut_off = asyncio.Event()
         self.in_progress = 0
         self.busy_since_ms = 0.0
         self.last_connected = ""
@@ -81,6 +81,15 @@
         self.check_task: asyncio.Task[bool] | None = None
         self.listeners: list[Callable[[], None]] = []
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether the last check found no reachable server."""
+        return self.cut_off.is_set()
+
+    async def wait_cut_off(self) -> None:
+        """Wait until this entry VM is cut off from all servers."""
+        await self.cut_off.wait()
+
     def begin_request(self) -> None:
         """Record a request to a server; silence counts from the first one."""
         if not self.in_progress:
@@ -188,6 +197,7 @@
             return
         now = self.clock.monotonic_ms()
         if cut_off:
+            self.cut_off.set()
             logger.warning(
                 "no backend server is reachable",
                 extra={
@@ -205,6 +215,7 @@
                 },
             )
             self.directory.forget_failures()
-        self.is_cut_off, self.changed_ms = cut_off, now
+            self.cut_off.clear()
+        self.changed_ms = now
         for listener in self.listeners:
             listener()
--- a/packages/ebonylb/src/ebonylb/forwarding/__init__.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/__init__.py
@@ -1,6 +1,7 @@
 """Forwarding of single requests: attempts, hedging, deadlines and refusals."""
 
 from .direct_pool import DirectPool
+from .failover import FailoverRuns
 from .forwarder import Forwarder
 from .messages import CallerRequest, CallerResponse, CallerStream
 from .request_log import RequestLog
@@ -13,6 +14,7 @@
     "CallerResponse",
     "CallerStream",
     "DirectPool",
+    "FailoverRuns",
     "Forwarder",
     "RequestLog",
     "RequestRuns",
--- a/packages/ebonylb/src/ebonylb/forwarding/attempt.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/attempt.py
@@ -9,7 +9,7 @@
 from ..interfaces import Clock
 from ..interfaces.server_client import ResponseHead, ServerRequest, ServerResponse
 from ..outcomes import StepError
-from .messages import CallerResponse
+from .messages import AnswerSource, CallerResponse
 from .server_pool import ServerPool
 
 MIN_SERVER_ERROR_STATUS = 500
@@ -103,6 +103,12 @@
     """Read a response to its end and record the server's load and outcome."""
     head = response.head
     now = clock.monotonic_ms()
+    if head.refusal is not None:
+        return AttemptResult(
+            AttemptOutcome.RESPONDED,
+            server,
+            CallerResponse(head.status, refusal=head.refusal),
+        )
     if head.load is not None:
         condition.record_load(head.load, now)
     if head.not_run:
@@ -130,5 +136,11 @@
     return AttemptResult(
         AttemptOutcome.RESPONDED,
         server,
-        CallerResponse(head.status, head.headers, body, seal=head.seal),
+        CallerResponse(
+            head.status,
+            head.headers,
+            body,
+            seal=head.seal,
+            source=AnswerSource(server, head),
+        ),
     )
--- a/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
@@ -5,14 +5,12 @@
 from ..interfaces import Clock
 from ..outcomes import Outcome
 from ..routes import Route, RouteTable, choose_target
+from .deadline import RESPONSE_MARGIN_MS, Runs, run_within_deadline
 from .messages import CallerRequest, CallerResponse, CallerStream, make_refusal
 from .request_log import RequestLog
-from .request_runs import RETRY_AFTER_MS, RequestRuns
 from .request_state import RequestState
 from .strikes import CrashStrikes, request_fingerprint
 
-# Time needed to send the response to the caller before the deadline.
-RESPONSE_MARGIN_MS = 15.0
 # An entry VM without a configuration probably has one after this time.
 NOT_READY_RETRY_AFTER_MS = 500
 
@@ -24,8 +22,8 @@
     ----------
     routes : RouteTable
         Configuration in force.
-    runs : RequestRuns
-        Runs requests on backend servers.
+    runs : Runs
+        Runs requests on backend servers, or through other entry VMs.
     strikes : CrashStrikes
         Requests that crashed servers.
     clock : Clock
@@ -37,7 +35,7 @@
     def __init__(
         self,
         routes: RouteTable,
-        runs: RequestRuns,
+        runs: Runs,
         strikes: CrashStrikes,
         clock: Clock,
         log: RequestLog,
@@ -110,21 +108,5 @@
         )
 
     async def run(self, state: RequestState) -> CallerResponse | CallerStream:
-        """Run a request unless it is known to crash servers."""
-        if self.strikes.is_blocked(state.fingerprint):
-            return make_refusal(
-                Outcome.GIVEN_UP, "crashes_servers", "servers crashed while running it"
-            )
-        return await self.dispatch(state)
-
-    async def dispatch(self, state: RequestState) -> CallerResponse | CallerStream:
-        """Run a request within its deadline."""
-        remaining_s = (state.deadline_at_ms - self.clock.monotonic_ms()) / 1000
-        try:
-            async with asyncio.timeout(max(0.0, remaining_s)):
-                return await self.runs.run(state)
-        except TimeoutError:
-            outcome = Outcome.MAY_HAVE_RUN if state.may_have_run else Outcome.NOT_RUN
-            return make_refusal(
-                outcome, "timeout", "the time limit was reached", RETRY_AFTER_MS
-            )
+        """Run a request within its deadline, unless it is known to crash servers."""
+        return await run_within_deadline(self.runs, self.strikes, self.clock, state)
--- a/packages/ebonylb/src/ebonylb/forwarding/messages.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/messages.py
@@ -3,7 +3,8 @@
 from collections.abc import AsyncGenerator
 from dataclasses import dataclass
 
-from ..interfaces.server_client import Headers, ServerRequest
+from ..fleet import ListedServer
+from ..interfaces.server_client import Headers, ResponseHead, ServerRequest
 from ..outcomes import Outcome, Refusal
 
 
@@ -53,6 +54,14 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class AnswerSource:
+    """Server that gave an answer, and the head with which it began."""
+
+    server: ListedServer
+    head: ResponseHead
+
+
 @dataclass(frozen=True, slots=True)
 class CallerResponse:
     """A complete response: either a server's own or a refusal by this entry VM.
@@ -63,6 +72,8 @@
         Set when the response is a refusal by this entry VM.
     seal : str or None
         The server's seal on its own response.
+    source : AnswerSource or None
+        Set for a server's own response.
     """
 
     status: int
@@ -70,6 +81,7 @@
     body: bytes = b""
     refusal: Refusal | None = None
     seal: str | None = None
+    source: AnswerSource | None = None
 
 
 @dataclass(slots=True)
@@ -80,11 +92,14 @@
     ----------
     chunks : async generator of bytes
         Complete events; raises `StepError` when the stream breaks before its end.
+    source : AnswerSource
+        Server that began the stream.
     """
 
     status: int
     headers: Headers
     chunks: AsyncGenerator[bytes, None]
+    source: AnswerSource
 
 
 def make_refusal(
--- a/packages/ebonylb/src/ebonylb/forwarding/request_log.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/request_log.py
@@ -34,11 +34,16 @@
 
     def log_abandoned(self, state: RequestState) -> None:
         """Log a request whose caller disconnected; its runs are cancelled."""
-        self.metrics.incr("forward.abandoned")
+        if state.relayed_for:
+            message = "relayed request abandoned"
+        else:
+            self.metrics.incr("forward.abandoned")
+            message = "request abandoned by its caller"
         logger.info(
-            "request abandoned by its caller",
+            message,
             extra={
                 "request_id": state.request.request_id,
+                "relayed_for": state.relayed_for or None,
                 "route": state.route.name,
                 "service": state.service,
                 "servers": state.sent_to,
@@ -53,12 +58,18 @@
         """Log the outcome of a request in a single line."""
         refusal = getattr(response, "refusal", None)
         elapsed_ms = self.elapsed_ms(state)
-        self.metrics.incr(f"forward.status.{response.status}")
-        self.metrics.timing_ms("forward.duration", elapsed_ms)
+        if state.relayed_for:
+            self.metrics.incr(f"relay.status.{response.status}")
+            message = "relayed request ended"
+        else:
+            self.metrics.incr(f"forward.status.{response.status}")
+            self.metrics.timing_ms("forward.duration", elapsed_ms)
+            message = "request ended"
         logger.info(
-            "request ended",
+            message,
             extra={
                 "request_id": state.request.request_id,
+                "relayed_for": state.relayed_for or None,
                 "route": state.route.name,
                 "configuration": self.routes.version,
                 "service": state.service,
--- a/packages/ebonylb/src/ebonylb/forwarding/request_runs.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/request_runs.py
@@ -1,6 +1,7 @@
 """Runs of single requests on the servers of one pool, by the kind of their routes."""
 
 import asyncio
+from abc import ABC, abstractmethod
 
 from result import Err
 
@@ -16,12 +17,18 @@
     is_unverified_success,
     send_to_server,
 )
-from .messages import CallerResponse, CallerStream, make_refusal
+from .deadline import Runs
+from .messages import AnswerSource, CallerResponse, CallerStream, make_refusal
 from .request_log import RequestLog
 from .request_state import RequestState
 from .server_pool import ServerPool
 from .stream_origins import StreamOrigins
-from .streams import open_with_timeout, relay_stream
+from .streams import (
+    OriginNotStoredError,
+    open_with_timeout,
+    relay_stream,
+    resolve_server,
+)
 from .strikes import CrashStrikes
 
 INTERNAL_ERROR = 500
@@ -33,7 +40,19 @@
 RETRY_AFTER_MS = 300  # a server's queue advances within about this time
 
 
-class RequestRuns:
+class Failover(ABC):
+    """Choice between the runs on servers and the runs through other entry VMs."""
+
+    @abstractmethod
+    def current_runs(self) -> "RequestRuns":
+        """Return the runs for work that begins now."""
+
+    @abstractmethod
+    async def choose_runs(self, has_failed_to_connect: bool) -> "RequestRuns":
+        """Return the runs for work that begins now, after a check if one has failed."""
+
+
+class RequestRuns(Runs):
     """Runs requests on the servers of a pool and returns one final response for each.
 
     Parameters
@@ -50,6 +69,13 @@
         Receiver of counters.
     log : RequestLog
         Logs requests whose callers disconnect.
+
+    Attributes
+    ----------
+    failover : Failover or None
+        Chooses the runs that continue a broken stream; None for always these.
+    stalls : set of asyncio.Timeout
+        Waits for the next events of streams that other servers can continue.
     """
 
     def __init__(
@@ -67,6 +93,8 @@
         self.clock = clock
         self.metrics = metrics
         self.log = log
+        self.failover: Failover | None = None
+        self.stalls: set[asyncio.Timeout] = set()
 
     async def run(self, state: RequestState) -> CallerResponse | CallerStream:
         """Run a request according to the kind of its route."""
@@ -112,6 +140,7 @@
         state.unfinished.append(attempt)
         result = await send_to_server(self.pool, self.clock, server, request)
         state.unfinished.remove(attempt)
+        state.failed_connections += not request.progress.connected
         if result.cause:
             state.causes.append(f"{server.name}: {result.cause}")
         if result.connection_lost:
@@ -134,7 +163,7 @@
                 if not running and (
                     refusal := await self.start_attempt(state, running)
                 ):
-                    return last_error or refusal
+                    return self.settle(state, last_error or refusal)
                 wait_s = (hedge_at_ms - self.clock.monotonic_ms()) / 1000
                 can_hedge = (
                     len(running) == 1
@@ -156,6 +185,8 @@
                     if response is not None and response.status < 500:
                         return response
                     last_error = response or last_error
+                if last_error is not None and last_error.refusal and not running:
+                    return self.settle(state, last_error)
         finally:
             for task in running:
                 task.cancel()
@@ -164,13 +195,32 @@
         self, state: RequestState, result: AttemptResult
     ) -> CallerResponse | None:
         """Count an attempt that ended and return its response, if there is one."""
-        if result.outcome is AttemptOutcome.NOT_RUN:
+        refusal = result.response.refusal if result.response else None
+        if result.outcome is AttemptOutcome.NOT_RUN or (
+            refusal is not None and refusal.outcome is Outcome.NOT_RUN
+        ):
             state.counted_attempts -= 1
             state.refused_attempts += 1
         elif result.response is not None and result.response.status == INTERNAL_ERROR:
             state.internal_errors += 1
         return result.response
 
+    def settle(self, state: RequestState, response: CallerResponse) -> CallerResponse:
+        """Return a response that does not deny attempts which may have run."""
+        refusal = response.refusal
+        if (
+            refusal is None
+            or refusal.outcome is not Outcome.NOT_RUN
+            or not state.may_have_run
+        ):
+            return response
+        return make_refusal(
+            Outcome.MAY_HAVE_RUN,
+            refusal.reason,
+            refusal.message,
+            refusal.retry_after_ms,
+        )
+
     async def start_attempt(
         self, state: RequestState, running: set[asyncio.Task[AttemptResult]]
     ) -> CallerResponse | None:
@@ -229,10 +279,11 @@
 
     async def open_stream(self, state: RequestState) -> CallerResponse | CallerStream:
         """Open a stream; the deadline applies only until the response head arrives."""
-        required = await self.origins.required_version(state.request, state.service)
-        if isinstance(required, Err):
-            return required.err_value
-        state.software_version = required.ok_value
+        if state.software_version is None:
+            required = await self.origins.required_version(state.request, state.service)
+            if isinstance(required, Err):
+                return required.err_value
+            state.software_version = required.ok_value
         while True:
             if state.refused_attempts >= MAX_REFUSED_ATTEMPTS:
                 return self.refuse_overloaded(state)
@@ -252,11 +303,18 @@
                 continue
             response = opened.ok_value
             head = response.head
+            server = resolve_server(server, head)
             if head.not_run:
                 response.close()
                 state.counted_attempts -= 1
                 state.refused_attempts += 1
                 continue
+            if head.refusal is not None:
+                response.close()
+                if head.refusal.outcome is Outcome.NOT_RUN:
+                    state.counted_attempts -= 1
+                refused = CallerResponse(head.status, refusal=head.refusal)
+                return self.settle(state, refused)
             if head.status >= MIN_SERVER_ERROR_STATUS or is_unverified_success(head):
                 condition = self.pool.condition(server)
                 condition.update_failure_share(1.0, self.clock.monotonic_ms())
@@ -265,9 +323,10 @@
                     response.close()
                     continue
             if head.status >= 300 or not head.sealed:
-                return await self.read_error_response(state, response)
+                return await self.read_error_response(state, server, response)
             chunks = relay_stream(self, state, server, response)
-            return CallerStream(head.status, head.headers, chunks)
+            source = AnswerSource(server, head)
+            return CallerStream(head.status, head.headers, chunks, source)
 
     def record_open_failure(
         self, state: RequestState, server: ListedServer, error: StepError
@@ -283,6 +342,7 @@
         condition = self.pool.condition(server)
         condition.record_failure(self.clock.monotonic_ms())
         if not error.may_have_run:
+            state.failed_connections += 1
             state.counted_attempts -= 1
             state.refused_attempts += 1
             return None
@@ -293,7 +353,7 @@
         )
 
     async def read_error_response(
-        self, state: RequestState, response: ServerResponse
+        self, state: RequestState, server: ListedServer, response: ServerResponse
     ) -> CallerResponse:
         """Return a server's error response in place of a stream.
 
@@ -313,4 +373,48 @@
             return make_refusal(
                 Outcome.MAY_HAVE_RUN, "answer_lost", "answer without seal"
             )
-        return CallerResponse(head.status, head.headers, body)
+        source = AnswerSource(server, head)
+        return CallerResponse(head.status, head.headers, body, source=source)
+
+    async def begin_stream(self, state: RequestState, server: ListedServer) -> None:
+        """Bind a stream to the software version of its server, before its first event.
+
+        Raises
+        ------
+        OriginNotStoredError
+            Another entry VM could continue the stream on another version. The stream
+            may begin again on the version that this entry VM need not record.
+        """
+        if state.request.resume_after and state.software_version is not None:
+            return
+        is_recorded = await self.origins.begin(state.stream_id, state.service, server)
+        if not is_recorded and state.route.resumable:
+            state.software_version = self.origins.former_version(state.service)
+            raise OriginNotStoredError(
+                "stream.origin", server.name, "software version not stored"
+            )
+        state.software_version = server.software_version
+
+    async def choose_runs(self, has_failed_to_connect: bool) -> "RequestRuns":
+        """Return the runs that continue a broken stream."""
+        if self.failover is None:
+            return self
+        return await self.failover.choose_runs(has_failed_to_connect)
+
+    def can_continue_elsewhere(self, state: RequestState) -> bool:
+        """Return whether another server can continue a stream better than its own.
+
+        The last attempt stays where it is.
+        """
+        if not state.route.resumable:
+            return False
+        if self.failover is not None and self.failover.current_runs() is not self:
+            return True
+        return self.has_attempts(state) and self.pool.can_continue_elsewhere(state)
+
+    def hurry_stalled_streams(self, limit_s: float) -> None:
+        """Let streams that other servers can continue wait no longer for an event."""
+        limit_at_s = asyncio.get_running_loop().time() + limit_s
+        for stall in self.stalls:
+            if not stall.expired() and stall.when() > limit_at_s:
+                stall.reschedule(limit_at_s)
--- a/packages/ebonylb/src/ebonylb/forwarding/request_state.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/request_state.py
@@ -40,6 +40,12 @@
         repetitions.
     unfinished : list of (str, SendProgress)
         Server and progress of each attempt without an outcome.
+    failed_connections : int
+        Attempts that ended without a connection.
+    may_have_run_before : bool
+        Whether the request may have run in a pool of servers that it has left.
+    relayed_for : str
+        Entry VM that passed the request on to this one; empty for a caller's request.
     """
 
     request: CallerRequest
@@ -57,6 +63,9 @@
     software_version: str | None = None
     software_versions: list[str] = field(default_factory=list)
     unfinished: list[tuple[str, SendProgress]] = field(default_factory=list)
+    failed_connections: int = 0
+    may_have_run_before: bool = False
+    relayed_for: str = ""
 
     @property
     def stream_id(self) -> str:
@@ -70,7 +79,19 @@
         An attempt that is still connecting has sent nothing.
         """
         connecting = sum(not progress.connected for _, progress in self.unfinished)
-        return self.counted_attempts > connecting
+        return self.may_have_run_before or self.counted_attempts > connecting
+
+    def leave_pool(self) -> None:
+        """Begin anew in another pool of servers.
+
+        Attempts on servers that cannot be reached any more do not count for the new
+        ones.
+        """
+        self.may_have_run_before = self.may_have_run
+        self.causes = self.all_causes()
+        self.unfinished = []
+        self.tried_servers = set()
+        self.counted_attempts = self.refused_attempts = 0
 
     def all_causes(self) -> list[str]:
         """Return the causes of failed attempts, and how far unfinished ones came."""
--- a/packages/ebonylb/src/ebonylb/forwarding/streams.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/streams.py
@@ -1,14 +1,16 @@
 """Relay of streams, which may be resumed on another server."""
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import AsyncGenerator, AsyncIterator
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from result import Err, Result
 
 from ..fleet import ListedServer
-from ..interfaces.server_client import ServerResponse
+from ..interfaces.server_client import ResponseHead, ServerResponse
 from ..outcomes import StepError
 
 if TYPE_CHECKING:
@@ -40,16 +42,11 @@
     """A stream cannot begin on a server although the server is sound."""
 
 
-def can_continue_elsewhere(runs: "RequestRuns", state: "RequestState") -> bool:
-    """Return whether another server can continue a stream better than its own.
-
-    The last attempt stays where it is.
-    """
-    return (
-        state.route.resumable
-        and runs.has_attempts(state)
-        and runs.pool.can_continue_elsewhere(state)
-    )
+def resolve_server(server: ListedServer, head: ResponseHead) -> ListedServer:
+    """Return a server with the software version of the one that answered for it."""
+    if head.answered_by is None:
+        return server
+    return replace(server, software_version=head.answered_by.software_version)
 
 
 def stall_timeout_s(runs: "RequestRuns", state: "RequestState") -> float:
@@ -67,7 +64,7 @@
         STALL_TIMEOUT_IN_GAPS * runs.pool.median_gap_ms(state.service),
     )
     # Another server needs time, too.
-    if stall_timeout_ms < remaining_ms and can_continue_elsewhere(runs, state):
+    if stall_timeout_ms < remaining_ms and runs.can_continue_elsewhere(state):
         return stall_timeout_ms / 1000
     abandon_timeout_ms = max(
         MIN_ABANDON_TIMEOUT_MS,
@@ -77,6 +74,26 @@
     return abandon_timeout_ms / 1000
 
 
+@contextlib.asynccontextmanager
+async def limit_stall(
+    runs: "RequestRuns", state: "RequestState"
+) -> AsyncIterator[None]:
+    """Limit a wait for a server; other servers may shorten it later.
+
+    Raises
+    ------
+    TimeoutError
+        The server sent nothing in time.
+    """
+    async with asyncio.timeout(stall_timeout_s(runs, state)) as stall:
+        if state.route.resumable:
+            runs.stalls.add(stall)
+        try:
+            yield
+        finally:
+            runs.stalls.discard(stall)
+
+
 def log_stream_end(state: "RequestState", last_number: int, complete: bool) -> None:
     """Log which events of a stream were sent on and which software made them."""
     logger.info(
@@ -106,7 +123,7 @@
     attempt = (server.name, request.progress)
     state.unfinished.append(attempt)
     try:
-        async with asyncio.timeout(stall_timeout_s(runs, state)):
+        async with limit_stall(runs, state):
             opened = await runs.pool.send(server, request)
     except TimeoutError:
         cause = "no response in time"
@@ -130,7 +147,7 @@
         The stream broke, or the server sent no event in time.
     """
     try:
-        async with asyncio.timeout(stall_timeout_s(runs, state)):
+        async with limit_stall(runs, state):
             return await anext(blocks, None)
     except TimeoutError as error:
         raise StepError("stream.stall", server.name, "no event in time") from error
@@ -173,7 +190,7 @@
                         f"event {number} after {last_number}",
                     )
                 if state.software_version is None or not state.software_versions:
-                    await begin_on_version(runs, state, server)
+                    await runs.begin_stream(state, server)
                 last_number = number
                 if server.software_version not in state.software_versions:
                     state.software_versions.append(server.software_version)
@@ -204,29 +221,7 @@
             condition.own_requests -= 1
             runs.origins.end(state.stream_id)
             response.close()
-        server, response = await resume_stream(runs, state, last_number)
-
-
-async def begin_on_version(
-    runs: "RequestRuns", state: "RequestState", server: ListedServer
-) -> None:
-    """Bind a stream to the software version of its server, before its first event.
-
-    Raises
-    ------
-    StepError
-        Another entry VM could continue the stream on another version. The stream may
-        begin again on the version that this entry VM need not record.
-    """
-    if state.request.resume_after and state.software_version is not None:
-        return
-    is_recorded = await runs.origins.begin(state.stream_id, state.service, server)
-    if not is_recorded and state.route.resumable:
-        state.software_version = runs.origins.former_version(state.service)
-        raise OriginNotStoredError(
-            "stream.origin", server.name, "software version not stored"
-        )
-    state.software_version = server.software_version
+        runs, server, response = await resume_stream(runs, state, last_number)
 
 
 async def pick_server_for_rest(
@@ -249,15 +244,27 @@
 
 async def resume_stream(
     runs: "RequestRuns", state: "RequestState", last_number: int
-) -> tuple[ListedServer, ServerResponse]:
+) -> tuple["RequestRuns", ListedServer, ServerResponse]:
     """Open the rest of a stream on another server.
 
+    Returns
+    -------
+    tuple
+        Runs that reach the server, the server, and its response.
+
     Raises
     ------
     StepError
         No attempts or time are left, or no server is available.
     """
-    while runs.has_attempts(state) and runs.remaining_ms(state) > 0:
+    has_failed_to_connect = False
+    while True:
+        chosen = await runs.choose_runs(has_failed_to_connect)
+        if chosen is not runs:
+            runs = chosen
+            state.leave_pool()
+        if not runs.has_attempts(state) or runs.remaining_ms(state) <= 0:
+            break
         server = await pick_server_for_rest(runs, state)
         if server is None:
             break
@@ -266,11 +273,12 @@
         state.counted_attempts += 1
         opened = await open_with_timeout(runs, state, server, last_number)
         if isinstance(opened, Err):
+            has_failed_to_connect = not opened.err_value.may_have_run
             state.causes.append(str(opened.err_value))
             continue
         response = opened.ok_value
         if response.head.status == 200 and response.head.sealed:
-            return server, response
+            return runs, resolve_server(server, response.head), response
         response.close()
         state.causes.append(f"{server.name}: status {response.head.status}")
     log_stream_end(state, last_number, complete=False)
--- a/packages/ebonylb/src/ebonylb/interfaces/server_client.py
+++ b/packages/ebonylb/src/ebonylb/interfaces/server_client.py
@@ -6,7 +6,7 @@
 
 from result import Result
 
-from ..outcomes import StepError
+from ..outcomes import Refusal, StepError
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -125,6 +125,14 @@
     weight_version: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class AnsweringServer:
+    """Server that answered a request which another entry VM has sent to it."""
+
+    address: ServerAddress
+    software_version: str
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of a response.
@@ -150,6 +158,10 @@
     limit_per_s : float or None
         Requests a second that the server accepts from all entry VMs together; None if
         it names no limit.
+    refusal : Refusal or None
+        Set when another entry VM has refused the request in place of a server.
+    answered_by : AnsweringServer or None
+        Set when another entry VM has sent the request to the server.
     """
 
     status: int
@@ -161,6 +173,8 @@
     weight_version: int | None = None
     leaving: bool = False
     limit_per_s: float | None = None
+    refusal: Refusal | None = None
+    answered_by: AnsweringServer | None = None
 
     @property
     def sealed(self) -> bool:
--- a/packages/ebonylb/src/ebonylb/platform/node_settings.py
+++ b/packages/ebonylb/src/ebonylb/platform/node_settings.py
@@ -69,6 +69,9 @@
     }
     if values.get("Ip"):
         fields["metrics_address"] = f"{values['Ip']}:{METRICS_PORT}"
+        first_port = values.get("PortRange", "").partition(",")[0]
+        if first_port.isdecimal():
+            fields["relay_address"] = f"{values['Ip']}:{first_port}"
     if (row_bytes := values.get("Platform.RowBytes")) is not None:
         fields["row_bytes"] = int(row_bytes)
     fields["bounds"] = bounds
--- a/packages/ebonylb/src/ebonylb/platform/servers.py
+++ b/packages/ebonylb/src/ebonylb/platform/servers.py
@@ -102,7 +102,7 @@
     return ResponseHead(
         status=response.status,
         headers=tuple(
-            (name, value)
+            (str(name), value)
             for name, value in headers.items()
             if name.lower() not in wire_names.HOP_BY_HOP_HEADERS
         ),
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/relay/standby.py
@@ -0,0 +1,28 @@
+"""Whether this entry VM leaves the duties that all share to the others."""
+
+from ..fleet import ServerReachability
+from .entry_vms import EntryVms
+
+
+class Standby:
+    """Tells whether this entry VM is cut off from all servers while others are not.
+
+    It then runs no batch and orders no weights. Without another entry VM that reaches
+    servers it keeps its duties, since nobody could take them.
+
+    Parameters
+    ----------
+    reachability : ServerReachability
+        Whether this entry VM reaches servers.
+    entry_vms : EntryVms
+        Whether others do.
+    """
+
+    def __init__(self, reachability: ServerReachability, entry_vms: EntryVms) -> None:
+        self.reachability = reachability
+        self.entry_vms = entry_vms
+
+    @property
+    def is_active(self) -> bool:
+        """Whether the shared duties are left to others now."""
+        return self.reachability.is_cut_off and bool(self.entry_vms.helpers())
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -13,6 +13,7 @@
 from ..adapters.clock import SystemClock
 from ..adapters.connections import StrictConnector
 from ..adapters.memory_metrics import InMemoryMetrics
+from ..adapters.relay_http import HttpRelayClient, RelayHandler
 from ..fleet.selector import Locality
 from ..interfaces.row_store import StoredRow
 from ..outcomes import new_token
@@ -100,17 +101,24 @@
         """Build the components, start following the store, and listen."""
         store_session = await self.open_session()
         server_session = await self.open_session(trace_connections())
+        relay_session = await self.open_session(trace_connections())
         self.store = PlatformRowStore(store_session, self.settings.store_address)
         self.server_client = HttpServerClient(server_session)
         locality = Locality(
             self.settings.failure_domain, self.settings.region, self.settings.regions
         )
         self.components = SiteComponents(
-            EntryVmIdentity(self.settings.name, self.incarnation, locality),
+            EntryVmIdentity(
+                self.settings.name,
+                self.incarnation,
+                locality,
+                self.settings.relay_address,
+            ),
             SiteDependencies(
                 self.store,
                 self.server_client,
                 server_session.connector.activity,
+                HttpRelayClient(relay_session),
                 self.clock,
                 self.metrics,
             ),
@@ -231,10 +239,12 @@
             self.uploads,
         )
         metrics_handler = MetricsHandler(self.metrics, self.read_gauges)
+        self.relay_handler = RelayHandler(self.components.relay_receiver.serve)
         for handler, address in (
             (ingress.handle, self.settings.caller_address),
             (ingress.handle_ready, self.settings.ready_address),
             (metrics_handler.handle, self.settings.metrics_address),
+            (self.handle_relayed, self.settings.relay_address),
         ):
             if not address:
                 continue
@@ -258,6 +268,14 @@
             host, port = address.rsplit(":", 1)
             await web.TCPSite(runner, host, int(port), backlog=512).start()
 
+    async def handle_relayed(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Respond to a request that another entry VM has passed on."""
+        self.readiness.in_progress += 1
+        try:
+            return await self.relay_handler.handle(request)
+        finally:
+            self.readiness.in_progress -= 1
+
     async def shutdown(self) -> None:
         """Refuse new connections, release batches and finish requests."""
         began_ms = self.clock.monotonic_ms()
@@ -266,10 +284,14 @@
         )
         self.readiness.leaving = True
         self.components.order_controller.leaving = True
+        self.components.relay_receiver.leaving = True
         limit_ms = self.settings.bounds.grace_ms - EXIT_MARGIN_MS
         try:
             async with asyncio.timeout(limit_ms / 1000):
-                await self.components.batch_ownership.leave()
+                await asyncio.gather(
+                    self.components.announcement.withdraw(),
+                    self.components.batch_ownership.leave(),
+                )
                 elapsed_ms = self.clock.monotonic_ms() - began_ms
                 await self.clock.sleep_ms(max(0, BALANCER_GRACE_MS - elapsed_ms))
                 await self.caller_drain.stop_listening()
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -24,13 +24,25 @@
     ServerSelector,
 )
 from ..fleet.selector import Locality
-from ..forwarding import DirectPool, Forwarder, RequestLog, RequestRuns
+from ..forwarding import (
+    DirectPool,
+    FailoverRuns,
+    Forwarder,
+    RequestLog,
+    RequestRuns,
+)
 from ..forwarding.stream_origins import StreamOrigins
 from ..forwarding.strikes import TABLE as STRIKES_TABLE
 from ..forwarding.strikes import CrashStrikes
 from ..interfaces import Clock, Metrics
+from ..interfaces.relay import RelayClient
 from ..interfaces.row_store import RowStore
-from ..interfaces.server_client import ServerActivity, ServerClient
+from ..interfaces.server_client import (
+    ResponseHead,
+    ServerActivity,
+    ServerAddress,
+    ServerClient,
+)
 from ..limits import (
     LimitGate,
     LimitNotingClient,
@@ -41,12 +53,26 @@
 from ..limits.shares import TABLE as LIMITS_TABLE
 from ..orders import OrderController, OrderLeases
 from ..orders.leases import TABLE as ORDERS_TABLE
+from ..relay import (
+    Announcement,
+    EntryVms,
+    RelayedRuns,
+    RelayPool,
+    RelayReceiver,
+    Standby,
+)
+from ..relay.entry_vms import TABLE as ENTRY_VMS_TABLE
 from ..routes import RouteTable
 from ..storage.feed_pause import MAX_FEED_PAUSE_MS, feed_pause_ms
 from ..storage.follower import TableFollower, TableReader
 from ..storage.store_time import StoreTime
 from .site_settings import Bounds
 
+# Entry VMs change seldom, and what they tell is confirmed by each relayed request. With
+# these intervals the table costs few calls, whatever the number of entry VMs.
+ENTRY_VMS_FEED_PAUSE_MS = 1_000.0
+ENTRY_VMS_FEED_WAIT_MS = 10_000
+
 BackgroundTask = Callable[[], Coroutine[Any, Any, None]]
 
 
@@ -62,6 +88,8 @@
         Backend servers.
     server_activity : ServerActivity
         What the connections of `server_client` receive.
+    relay_client : RelayClient
+        Other entry VMs.
     clock : Clock
         Source of time.
     metrics : Metrics
@@ -71,17 +99,25 @@
     store: RowStore
     server_client: ServerClient
     server_activity: ServerActivity
+    relay_client: RelayClient
     clock: Clock
     metrics: Metrics
 
 
 @dataclass(frozen=True, slots=True)
 class EntryVmIdentity:
-    """Name and location of an entry VM, and the random token of this process start."""
+    """Name and location of an entry VM, and the random token of this process start.
+
+    Parameters
+    ----------
+    relay_address : str
+        ``ip:port`` for requests of other entry VMs; empty if it accepts none.
+    """
 
     name: str
     incarnation: str
     locality: Locality
+    relay_address: str = ""
 
 
 class SiteComponents:
@@ -133,6 +169,7 @@
         )
         self.strikes = CrashStrikes(dependencies.store, clock)
         self.stream_origins = StreamOrigins(dependencies.store, clock, self.directory)
+        self.build_entry_vms()
         self.build_forwarder()
         self.build_orders()
         self.build_batches(row_bytes)
@@ -164,15 +201,70 @@
         """Build the forwarder of single requests."""
         clock, metrics = self.dependencies.clock, self.dependencies.metrics
         log = RequestLog(self.routes, clock, metrics)
-        pool = DirectPool(
+        direct_pool = DirectPool(
             self.directory,
             self.selector,
             self.server_client,
             self.strikes,
             self.reachability,
         )
-        runs = RequestRuns(pool, self.strikes, self.stream_origins, clock, metrics, log)
+        relay_pool = RelayPool(
+            self.identity.name,
+            self.entry_vms,
+            self.selector,
+            self.dependencies.relay_client,
+            self.note_relayed_answer,
+        )
+        shared = (self.strikes, self.stream_origins, clock, metrics, log)
+        runs = FailoverRuns(
+            RequestRuns(direct_pool, *shared),
+            RelayedRuns(relay_pool, *shared),
+            self.reachability,
+            metrics,
+        )
         self.forwarder = Forwarder(self.routes, runs, self.strikes, clock, log)
+        # Runs without failover: a relayed request is never passed on again.
+        self.relay_receiver = RelayReceiver(
+            RequestRuns(direct_pool, *shared),
+            self.strikes,
+            self.reachability,
+            clock,
+            log,
+        )
+
+    def note_relayed_answer(
+        self, server: ServerAddress, head: ResponseHead, sent_ms: float
+    ) -> None:
+        """Note what a server says of itself in an answer through another entry VM."""
+        if head.leaving:
+            self.directory.record_departure(server)
+        self.limit_registry.record(server, head.limit_per_s, sent_ms)
+
+    def build_entry_vms(self) -> None:
+        """Build what this entry VM knows of the others, and what it tells them."""
+        self.entry_vms = EntryVms(self.identity.name, self.store_time)
+        self.entry_vms.listeners.append(self.reachability.suspect)
+        self.standby = Standby(self.reachability, self.entry_vms)
+        self.announcement = Announcement(
+            self.identity.name,
+            self.identity.incarnation,
+            self.identity.locality.failure_domain,
+            self.identity.relay_address,
+            self.dependencies.store,
+            self.dependencies.clock,
+            self.store_time,
+            self.entry_vms,
+            TableFollower(
+                self.dependencies.store,
+                self.dependencies.clock,
+                ENTRY_VMS_TABLE,
+                self.entry_vms,
+                self.store_time,
+                lambda: ENTRY_VMS_FEED_PAUSE_MS,
+                wait_ms=ENTRY_VMS_FEED_WAIT_MS,
+            ),
+            self.reachability,
+        )
 
     def build_orders(self) -> None:
         """Build the controller of weight orders and its leases."""
@@ -254,12 +346,14 @@
         followers = (
             self.progress_follower,
             self.limit_shares.follower,
+            self.announcement.follower,
             self.make_follower(ORDERS_TABLE, self.order_leases),
             self.make_follower(STRIKES_TABLE, self.strikes),
         )
         return {
             **{f"follow {follower.table}": follower.run for follower in followers},
             "reachability": self.reachability.watch,
+            "announcement": self.announcement.run,
             "limits": self.limit_shares.run,
             "stream origins": self.stream_origins.delete_expired,
             "orders": self.order_controller.run,
--- a/packages/ebonylb/src/ebonylb/service/site_settings.py
+++ b/packages/ebonylb/src/ebonylb/service/site_settings.py
@@ -49,6 +49,8 @@
         ``ip:port`` of the platform's store.
     regions : dict of str to str
         Region of each failure domain.
+    relay_address : str
+        ``ip:port`` for requests that other entry VMs pass on; empty to accept none.
     metrics_address : str
         ``ip:port`` of the metrics page; empty to disable it.
     row_bytes : int
@@ -64,6 +66,7 @@
     ready_address: str
     store_address: str
     regions: dict[str, str] = {}
+    relay_address: str = ""
     metrics_address: str = ""
     row_bytes: int = 65_536
     bounds: Bounds = Bounds()
--- a/packages/ebonylb/src/ebonylb/storage/follower.py
+++ b/packages/ebonylb/src/ebonylb/storage/follower.py
@@ -76,6 +76,8 @@
         rate of calls for a table that changes continuously.
     partitioned : bool
         Whether the table has named partitions.
+    wait_ms : int
+        Time after which the store returns a feed call without changes.
 
     Attributes
     ----------
@@ -92,6 +94,7 @@
         store_time: StoreTime,
         pause_ms: Callable[[], float] = lambda: MIN_FEED_PAUSE_MS,
         partitioned: bool = False,
+        wait_ms: int = FEED_WAIT_MS,
     ) -> None:
         self.store = store
         self.clock = clock
@@ -100,6 +103,7 @@
         self.store_time = store_time
         self.pause_ms = pause_ms
         self.partitioned = partitioned
+        self.wait_ms = wait_ms
         self.busy_factor = 1.0
         self.table_read: TableRead | None = None
         self.loaded = asyncio.Event()
@@ -194,7 +198,7 @@
         """Read the change feed once and return the failure, if any."""
         # After a failure, the call does not wait for changes: a recovered store
         # responds at once, and the call to a silent store times out earlier.
-        wait_ms = 0 if self.healthy_since_ms is None else FEED_WAIT_MS
+        wait_ms = 0 if self.healthy_since_ms is None else self.wait_ms
         response = await self.store.changes(self.table, self.version, wait_ms)
         if isinstance(response, Err):
             return response.err_value
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
@@ -106,6 +106,8 @@
     ----------
     front_address, ready_address : str
         Listening addresses for callers and for the balancer's readiness checks.
+    relay_port : int
+        Port for requests of other entry VMs.
     """
 
     name: str
@@ -116,6 +118,7 @@
     program: tuple[str, ...] = PROGRAM
     front_address: str = ""
     ready_address: str = ""
+    relay_port: int = 0
     process: asyncio.subprocess.Process | None = None
     start_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
@@ -130,6 +133,7 @@
         """
         self.front_address = self.front_address or f"{self.ip}:{free_port(self.ip)}"
         self.ready_address = self.ready_address or f"{self.ip}:{free_port(self.ip)}"
+        self.relay_port = self.relay_port or free_port(self.ip)
         lines = [
             f"Node={self.name}",
             f"Zone={self.zone}",
@@ -138,7 +142,7 @@
             f"Ip={self.ip}",
             f"Listen.Front={self.front_address}",
             f"Listen.Ready={self.ready_address}",
-            "PortRange=1,2",
+            f"PortRange={self.relay_port},{self.relay_port}",
             f"Platform.Address={self.store_address}",
             "Platform.RowBytes=65536",
             "Bounds.LeaseMs=3000",
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -34,6 +34,7 @@
 from ..histories.virtual_time import LoopClock
 from .cut_path import CutPath
 from .recorded_port import RecordedPort
+from .relay_path import LocalRelayClient
 from .row_store import MemoryRowStore, StoreData
 from .servers import FakeServer, FakeServers, PlannedResponse
 
@@ -138,6 +139,7 @@
     port: RecordedPort = field(init=False)
     path: CutPath = field(init=False)
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    is_stopped: bool = False
 
     def __post_init__(self) -> None:
         """Build the services, start their tasks and list the servers."""
@@ -148,9 +150,14 @@
         self.store = MemoryRowStore(world.data, world.clock)
         locality = Locality(self.failure_domain, REGIONS[self.failure_domain], REGIONS)
         duties = SiteComponents(
-            EntryVmIdentity(self.name, self.incarnation, locality),
+            EntryVmIdentity(self.name, self.incarnation, locality, f"{self.name}:1"),
             SiteDependencies(
-                self.store, self.path, self.path.activity, world.clock, NullMetrics()
+                self.store,
+                self.path,
+                self.path.activity,
+                LocalRelayClient(world.vms, world.clock),
+                world.clock,
+                NullMetrics(),
             ),
             Bounds(lease_ms=world.lease_ms),
             65_536,
@@ -161,6 +168,8 @@
         self.progress_view, self.batches = duties.progress_view, duties.batch_service
         self.ownership = duties.batch_ownership
         self.placement = duties.placement
+        self.reachability, self.entry_vms = duties.reachability, duties.entry_vms
+        self.relay_receiver = duties.relay_receiver
         self.registry, self.limits = duties.limit_registry, duties.limit_gate
         self.routes.apply(world.configuration)
         self.tasks = [
@@ -175,6 +184,7 @@
 
     def stop(self) -> None:
         """Cancel all tasks at once, as a loss of power does."""
+        self.is_stopped = True
         for task in [*self.tasks, *self.ownership.tasks]:
             task.cancel()
 
