batches: an entry VM that reaches no server leaves its batches to others

Cause: a holder is replaced when it is silent; one that is cut off from the servers goes on writing heartbeats, gets new batches as the alive holder of its service, and takes others over. Change: while it is cut off and another entry VM reaches servers (Standby), an entry VM releases its batches with checkpoints, claims none, and names no holder for those it accepts; a holder that tells of its cut gets no new ones. Before a takeover an entry VM without a recent byte from any server checks that it reaches one. Where nobody does, batches stay. The choice of holders moved to a module of its own.

--- a/packages/ebonylb/src/ebonylb/batches/ownership.py
+++ b/packages/ebonylb/src/ebonylb/batches/ownership.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-from collections import Counter
 from collections.abc import Coroutine
 from typing import Any
 
@@ -10,12 +9,14 @@
 
 from ..interfaces import Clock, Metrics
 from ..outcomes import new_token
+from ..relay import Standby
 from ..routes import RouteTable
 from ..storage.follower import TableFollower
 from .handover import Handover
 from .holder import BatchHolder
+from .holder_choice import HolderChoice
 from .item_run import ItemRunner
-from .model import Batch, BatchHeader, Progress
+from .model import Batch, Progress
 from .output_reuse import StepOutputReuse
 from .progress_view import BatchProgressView, ObservedProgress
 from .repository import BatchRepository, StoredProgress
@@ -25,11 +26,6 @@
 logger = logging.getLogger(__name__)
 
 WATCH_INTERVAL_MS = 150.0
-# A holder counts as alive if its last commit is not older: two heartbeat intervals.
-ALIVE_TIMEOUT_MS = 1_000.0
-# Unfinished items that one entry VM should hold for all routes together: 200 streams
-# with an event every 40 ms take about half a core.
-MAX_OPEN_ITEMS = 200
 DELETE_INTERVAL_MS = 10_000
 # Attempts to write a claim when the outcome of a write is unclear.
 MAX_CLAIM_ATTEMPTS = 3
@@ -51,6 +47,8 @@
         follower is healthy.
     retention_ms : float
         Time after the submission during which a batch stays readable.
+    standby : Standby
+        Whether this entry VM leaves its batches to others.
 
     Attributes
     ----------
@@ -74,6 +72,7 @@
         clock: Clock,
         metrics: Metrics,
         retention_ms: float,
+        standby: Standby,
     ) -> None:
         self.name = name
         self.incarnation = incarnation
@@ -84,6 +83,10 @@
         self.runner = runner
         self.clock = clock
         self.metrics = metrics
+        self.standby = standby
+        self.holder_choice = HolderChoice(
+            name, incarnation, routes, progress_view, clock, standby
+        )
         self.output_reuse = StepOutputReuse(progress_view, repository)
         self.holders: dict[str, BatchHolder] = {}
         self.claiming_ids: set[str] = set()
@@ -124,39 +127,6 @@
         self.claiming_ids.add(batch_id)
         self.spawn(self.take_over(stored, confirm_first))
 
-    def choose_holder(self, header: BatchHeader) -> tuple[str, str]:
-        """Return the name and incarnation of the entry VM that should run a new batch.
-
-        Batches of one service stay with one entry VM while it is alive: it has
-        connections to the servers, observes the speed of each of them, and starts the
-        longest items of all batches first. If that is too much work for one entry VM,
-        at least the batches of each route stay together.
-        """
-        now = self.clock.monotonic_ms()
-        service = self.service_of(header.route)
-        open_items: Counter[str] = Counter()
-        alive: list[ObservedProgress] = []
-        for observed in self.progress_view.by_batch_id.values():
-            progress = observed.progress
-            if not progress.ended:
-                open_items[progress.holder] += progress.header.total - progress.listed
-            if progress.holder and now - observed.changed_ms <= ALIVE_TIMEOUT_MS:
-                alive.append(observed)
-        alive.sort(key=lambda observed: observed.stored.version, reverse=True)
-        for observed in alive:
-            progress = observed.progress
-            same_route = progress.header.route == header.route
-            same_service = self.service_of(progress.header.route) == service
-            fits_limit = open_items[progress.holder] + header.total <= MAX_OPEN_ITEMS
-            if same_service and (same_route or fits_limit):
-                return progress.holder, progress.incarnation
-        return self.name, self.incarnation
-
-    def service_of(self, route_name: str) -> str | None:
-        """Return the service that runs a route's batches."""
-        route = self.routes.find_by_name(route_name)
-        return route.targets[0].service if route else None
-
     def start_accepted(self, batch: Batch, stored: StoredProgress) -> None:
         """Run a stored batch here, or track that its holder claims and starts it."""
         batch_id = batch.header.batch_id
@@ -226,7 +196,7 @@
     async def run_holder(self, holder: BatchHolder) -> None:
         """Run a batch on this entry VM until its holder stops."""
         self.holders[holder.batch_id] = holder
-        if self.leaving:
+        if self.leaves_batches:
             holder.release()
         try:
             await holder.run()
@@ -250,7 +220,9 @@
         """
         while True:
             await self.clock.sleep_ms(WATCH_INTERVAL_MS)
-            if self.leaving or self.follower.healthy_since_ms is None:
+            if self.standby.is_active:
+                self.release_all()
+            if self.leaves_batches or self.follower.healthy_since_ms is None:
                 continue
             now = self.clock.monotonic_ms()
             for observed in list(self.progress_view.by_batch_id.values()):
@@ -258,7 +230,9 @@
                     continue
                 if self.is_held_by_earlier_incarnation(
                     observed.progress
-                ) and not self.has_capacity(observed):
+                ) and not self.holder_choice.has_capacity(
+                    observed, {*self.holders, *self.claiming_ids}
+                ):
                     self.start_release(observed.stored)
                 else:
                     self.start_takeover(observed.stored, confirm_first=True)
@@ -282,22 +256,6 @@
         """Return whether a row names an earlier incarnation of this entry VM."""
         return progress.holder == self.name and progress.incarnation != self.incarnation
 
-    def has_capacity(self, observed: ObservedProgress) -> bool:
-        """Return whether this entry VM can hold another batch within `MAX_OPEN_ITEMS`.
-
-        A single batch always fits. An entry VM that restarts may find that it held the
-        batches of all trainers. Reading them all took a small entry VM over three
-        seconds, while the others were idle.
-        """
-        own_batches = [
-            self.progress_view.by_batch_id[batch_id].progress
-            for batch_id in {*self.holders, *self.claiming_ids}
-            if batch_id in self.progress_view.by_batch_id
-        ]
-        open_items = sum(p.header.total - p.listed for p in own_batches)
-        remaining_items = observed.progress.header.total - observed.progress.listed
-        return not own_batches or open_items + remaining_items <= MAX_OPEN_ITEMS
-
     def is_handling(self, batch_id: str) -> bool:
         """Return whether this entry VM runs, claims or has just released a batch."""
         return (
@@ -332,8 +290,9 @@
             if self.routes.find_by_name(stored.progress.header.route) is None:
                 await self.clock.sleep_ms(SILENCE_TIMEOUT_MS)
                 return
-            if self.leaving:
-                await self.write_release(stored)
+            if self.leaves_batches or not await self.standby.can_take_duty():
+                if self.is_held_here(stored.progress):
+                    await self.write_release(stored)
                 return
             started_ms = self.clock.monotonic_ms()
             if confirm_first and not await self.is_unchanged(stored):
@@ -448,10 +407,20 @@
                 extra={"batch": stored.progress.header.batch_id},
             )
 
+    @property
+    def leaves_batches(self) -> bool:
+        """Whether other entry VMs run the batches, and this one takes none."""
+        return self.leaving or self.standby.is_active
+
+    def release_all(self) -> None:
+        """Start to release all batches, with checkpoints of their items."""
+        for holder in list(self.holders.values()):
+            if not holder.releasing:
+                holder.release()
+
     async def leave(self) -> None:
         """Release all batches, with checkpoints of their items, and wait for that."""
         self.leaving = True
-        for holder in list(self.holders.values()):
-            holder.release()
+        self.release_all()
         while self.holders:
             await self.clock.sleep_ms(20)
--- a/packages/ebonylb/src/ebonylb/batches/service.py
+++ b/packages/ebonylb/src/ebonylb/batches/service.py
@@ -80,7 +80,7 @@
         route = self.routes.find_by_name(batch.header.route)
         if self.ownership.leaving or route is None:
             return STORE_UNREACHABLE
-        holder, incarnation = self.ownership.choose_holder(batch.header)
+        holder, incarnation = self.ownership.holder_choice.choose_holder(batch.header)
         progress = Progress(
             batch.header,
             holder,
--- a/packages/ebonylb/src/ebonylb/fleet/reachability.py
+++ b/packages/ebonylb/src/ebonylb/fleet/reachability.py
@@ -112,6 +112,11 @@
         now = self.clock.monotonic_ms()
         return self.in_progress > 0 and now - silent_since_ms >= MAX_SILENCE_MS
 
+    def has_recent_answer(self) -> bool:
+        """Return whether a server has sent a byte within `MAX_SILENCE_MS`."""
+        age_ms = self.clock.monotonic_ms() - self.activity.last_received_ms
+        return not self.is_cut_off and age_ms < MAX_SILENCE_MS
+
     async def watch(self) -> None:
         """Check on suspicion, and repeatedly while cut off, until cancelled."""
         while True:
--- a/packages/ebonylb/src/ebonylb/relay/standby.py
+++ b/packages/ebonylb/src/ebonylb/relay/standby.py
@@ -26,3 +26,16 @@
     def is_active(self) -> bool:
         """Whether the shared duties are left to others now."""
         return self.reachability.is_cut_off and bool(self.entry_vms.helpers())
+
+    def is_cut_off(self, name: str) -> bool:
+        """Return whether another entry VM tells that it reaches no server."""
+        return self.entry_vms.is_cut_off(name)
+
+    async def can_take_duty(self) -> bool:
+        """Return whether this entry VM may take a duty over from another one.
+
+        An entry VM without requests may not have noticed that it is cut off, too.
+        """
+        if not self.reachability.has_recent_answer():
+            await self.reachability.check()
+        return not self.is_active
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -317,6 +317,7 @@
             clock,
             metrics,
             self.bounds.result_retention_ms,
+            self.standby,
         )
         self.batch_service = BatchService(
             self.batch_ownership, self.routes, self.progress_view, repository, clock
--- a/packages/ebonylb/tests/test_batches.py
+++ b/packages/ebonylb/tests/test_batches.py
@@ -1001,8 +1001,8 @@
             route = type(other.header)(
                 "x1", "other", 20, world.clock.wall_ms(), "m", 0, 1
             )
-            assert second.ownership.choose_holder(route)[0] == "b"
-            assert second.ownership.choose_holder(other.header)[0] == "a"
+            assert second.ownership.holder_choice.choose_holder(route)[0] == "b"
+            assert second.ownership.holder_choice.choose_holder(other.header)[0] == "a"
 
         run_virtual(scenario())
 
--- a/packages/ebonylb/tests/test_recover.py
+++ b/packages/ebonylb/tests/test_recover.py
@@ -210,6 +210,65 @@
 
         run_virtual(scenario())
 
+    @pytest.mark.parametrize("state", CUTS)
+    def test_a_step_goes_to_an_entry_vm_that_reaches_servers(self, state):
+        """Guards against batches that move among entry VMs which are all cut off."""
+
+        async def scenario():
+            world = start_site()
+            lengths = [40] * 24
+            holder = world.vms["vm-0"]
+            await holder.batches.submit(world.batch("b", lengths))
+            await world.clock.sleep_ms(500)
+            began_ms = world.clock.monotonic_ms()
+            names = [f"vm-{number}" for number in range(5)]
+            cut = asyncio.create_task(cut_off(world, state, names))
+            results = await read_all(world.vms["vm-1"], "b", len(lengths))
+            assert all(result.succeeded for result in results)
+            assert world.clock.monotonic_ms() - began_ms < DUE_MS
+            await cut
+
+        run_virtual(scenario())
+
+    def test_a_step_accepted_while_cut_off_runs_elsewhere(self):
+        """Guards against a batch that waits where it was accepted."""
+
+        async def scenario():
+            world = start_site()
+            await world.clock.sleep_ms(1_500)
+            vm = world.vms["vm-0"]
+            cut = asyncio.create_task(cut_off(world, PathState.HANG, ["vm-0"]))
+            await world.clock.sleep_ms(10)
+            assert not await vm.reachability.check()
+            began_ms = world.clock.monotonic_ms()
+            assert await vm.batches.submit(world.batch("b", [40] * 24)) is None
+            await read_all(world.vms["vm-1"], "b", 24)
+            assert world.clock.monotonic_ms() - began_ms < DUE_MS
+            assert not vm.ownership.holders
+            await cut
+
+        run_virtual(scenario())
+
+    def test_a_step_stays_where_nobody_reaches_a_server(self):
+        """Guards against batches that are released although nobody can run them."""
+
+        async def scenario():
+            world = start_site(3)
+            await world.vms["vm-0"].batches.submit(world.batch("b", [40] * 24))
+            await world.clock.sleep_ms(500)
+            cut = asyncio.create_task(cut_off(world, PathState.HANG, list(world.vms)))
+            await world.clock.sleep_ms(5_000)
+            claims = len([r for r in world.data.log if r.row_key.table == "batches"])
+            await world.clock.sleep_ms(3_000)
+            writes = len([r for r in world.data.log if r.row_key.table == "batches"])
+            # Heartbeats of one holder, twice a second, and its checkpoints.
+            assert writes - claims <= 12
+            await cut
+            results = await read_all(world.vms["vm-1"], "b", 24)
+            assert all(result.succeeded for result in results)
+
+        run_virtual(scenario())
+
 
 class TestOrders:
     @pytest.mark.parametrize("state", CUTS)
