orders: an entry VM that reaches no server leaves weight orders to others

Cause: entry VMs that are cut off keep their leases, claim those of servers without one, and try again every 0.9 s. Change: while on standby an entry VM starts no order; before it claims a lease it checks that it reaches a server, unless one has just answered; the others do not wait out the grace of a holder that tells of its cut. The term of a lease stays as it is, since two entry VMs must not order a server within it. Measured: all tests of ebonylb pass.

--- a/packages/ebonylb/src/ebonylb/orders/controller.py
+++ b/packages/ebonylb/src/ebonylb/orders/controller.py
@@ -9,6 +9,7 @@
 from ..fleet import ListedServer, ServerDirectory
 from ..interfaces import Clock, Metrics
 from ..interfaces.server_client import ModelVersion, ServerClient, VersionOrder
+from ..relay import Standby
 from ..routes import RouteTable
 from .claim_delay import claim_delay_ms
 from .leases import OrderLeases, group_of
@@ -69,6 +70,11 @@
 class OrderController:
     """Sends weight orders to servers whose lease this entry VM holds or can claim.
 
+    Parameters
+    ----------
+    standby : Standby
+        Whether this entry VM leaves the orders to others.
+
     Attributes
     ----------
     target_versions : dict of str to int
@@ -89,6 +95,7 @@
         server_client: ServerClient,
         clock: Clock,
         metrics: Metrics,
+        standby: Standby,
     ) -> None:
         self.name = name
         self.routes = routes
@@ -97,6 +104,7 @@
         self.server_client = server_client
         self.clock = clock
         self.metrics = metrics
+        self.standby = standby
         self.target_versions: dict[str, int] = {}
         self.order_states: dict[str, ServerOrderState] = {}
         self.leaving = False
@@ -135,7 +143,7 @@
         """Start due orders periodically until cancelled."""
         while True:
             await self.clock.sleep_ms(self.step_interval_ms())
-            if self.leaving:
+            if self.leaving or self.standby.is_active:
                 continue
             self.step()
 
@@ -189,9 +197,10 @@
         if self.leases.has_lease(name):
             # The claim delays of all entry VMs count from the end of the holder's term,
             # however long the load has been planned.
-            waited_ms = min(
-                waited_ms - HOLDER_GRACE_MS, self.leases.claimable_for_ms(name)
-            )
+            grace_ms = HOLDER_GRACE_MS
+            if self.standby.is_cut_off(self.leases.holder_of(name)):
+                grace_ms = 0.0
+            waited_ms = min(waited_ms - grace_ms, self.leases.claimable_for_ms(name))
         servers = len(self.directory.servers)
         return waited_ms >= claim_delay_ms(group_of(name), self.name, servers)
 
@@ -208,7 +217,8 @@
         if not self.leases.is_holder(server.name):
             # Of all entry VMs that claim a group at once, only the new holder opens a
             # connection to the server.
-            permit = await self.leases.request_permit(server.name)
+            if await self.standby.can_take_duty():
+                permit = await self.leases.request_permit(server.name)
             if permit is None:
                 order_state.not_before_ms = self.clock.monotonic_ms() + REFUSAL_PAUSE_MS
                 return
--- a/packages/ebonylb/src/ebonylb/orders/leases.py
+++ b/packages/ebonylb/src/ebonylb/orders/leases.py
@@ -165,6 +165,11 @@
         current = self.observed_leases.get(group_of(server))
         return current is not None and current.lease.holder == self.name
 
+    def holder_of(self, server: str) -> str:
+        """Return the holder of a server's group; empty if there is none."""
+        current = self.observed_leases.get(group_of(server))
+        return current.lease.holder if current is not None else ""
+
     def has_lease(self, server: str) -> bool:
         """Return whether a server's group has a lease row, current or expired."""
         return group_of(server) in self.observed_leases
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -284,6 +284,7 @@
             self.server_client,
             dependencies.clock,
             dependencies.metrics,
+            self.standby,
         )
 
     def build_batches(self, row_bytes: int) -> None:
