readiness: new callers go to entry VMs that reach servers

Cause: an entry VM that reaches no server stayed in the balancer's rotation. Change: it is not ready while it is on standby. Open connections are served as before, by relaying, and so are new ones where the balancer uses a zone of which fewer than half are ready. Evidence: test_new_callers_go_to_entry_vms_that_reach_servers (new with the change).

--- a/packages/ebonylb/src/ebonylb/service/readiness.py
+++ b/packages/ebonylb/src/ebonylb/service/readiness.py
@@ -1,6 +1,7 @@
 """Readiness of an entry VM for new connections."""
 
 from ..interfaces import Clock
+from ..relay import Standby
 from ..routes import RouteTable
 from ..storage.follower import TableFollower
 
@@ -20,6 +21,8 @@
         Number of caller requests in progress.
     followers : list of TableFollower
         Followers that must be up to date.
+    standby : Standby or None
+        Tells whether other entry VMs reach servers that this one does not.
     """
 
     def __init__(self, routes: RouteTable, clock: Clock) -> None:
@@ -28,6 +31,7 @@
         self.followers: list[TableFollower] = []
         self.leaving = False
         self.in_progress = 0
+        self.standby: Standby | None = None
 
     def has_configuration(self) -> bool:
         """Return whether a configuration has been loaded."""
@@ -35,7 +39,19 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer should send new connections."""
-        return not self.leaving and self.has_configuration() and self.is_store_current()
+        return (
+            not self.leaving
+            and self.has_configuration()
+            and self.is_store_current()
+            and not self.is_on_standby()
+        )
+
+    def is_on_standby(self) -> bool:
+        """Return whether other entry VMs serve new callers better.
+
+        The balancer may send callers all the same, when few entry VMs are ready.
+        """
+        return self.standby is not None and self.standby.is_active
 
     def is_store_current(self) -> bool:
         """Return whether the store has recently confirmed all followed tables."""
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -126,6 +126,7 @@
             self.settings.row_bytes,
         )
         self.readiness = Readiness(self.components.routes, self.clock)
+        self.readiness.standby = self.components.standby
         self.uploads = Uploads()
         self.reload = SettingsReload(
             self.settings, self.read_settings, self.apply_settings, self.clock
--- a/packages/ebonylb/tests/test_recover.py
+++ b/packages/ebonylb/tests/test_recover.py
@@ -8,6 +8,7 @@
 from ebonylb.forwarding import CallerRequest
 from ebonylb.interfaces.server_client import ModelVersion
 from ebonylb.outcomes import Outcome
+from ebonylb.service.readiness import Readiness
 from ebonylb_standins.histories.virtual_time import run_virtual
 from ebonylb_standins.site.cut_path import PathState
 from ebonylb_standins.site.recover_rule import Cut, FirstTry, judge
@@ -190,6 +191,32 @@
         run_virtual(scenario())
 
 
+class TestReadiness:
+    def test_new_callers_go_to_entry_vms_that_reach_servers(self):
+        """Guards against new connections to an entry VM that reaches no server."""
+
+        async def scenario():
+            world = start_site(2)
+            await world.clock.sleep_ms(1_500)
+            first, second = world.vms.values()
+            readiness = Readiness(first.routes, world.clock)
+            readiness.standby = first.standby
+            assert readiness.is_ready()
+            first.path.cut(PathState.HANG)
+            assert not await first.reachability.check()
+            assert not readiness.is_ready()
+            second.path.cut(PathState.HANG)
+            assert not await second.reachability.check()
+            await world.clock.sleep_ms(1_500)
+            # No other entry VM would serve them better.
+            assert readiness.is_ready()
+            first.path.heal()
+            await world.clock.sleep_ms(1_500)
+            assert readiness.is_ready()
+
+        run_virtual(scenario())
+
+
 class TestBatches:
     @pytest.mark.parametrize("state", CUTS)
     def test_a_cut_off_holder_does_not_delay_its_step(self, state):
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -169,6 +169,7 @@
         self.ownership = duties.batch_ownership
         self.placement = duties.placement
         self.reachability, self.entry_vms = duties.reachability, duties.entry_vms
+        self.standby = duties.standby
         self.relay_receiver = duties.relay_receiver
         self.registry, self.limits = duties.limit_registry, duties.limit_gate
         self.routes.apply(world.configuration)
