connections: the user timeout lasts for all keep-alive probes

Cause: as on Linux, a TCP_USER_TIMEOUT that is set decides when keep-alive probes give up, whatever their count. With 2 s, and a first probe after 2 s, an idle or waiting connection to a server or to the store ended after one lost probe instead of two. Change: the first probe after 1 s, the user timeout 3 s, the sum of all probe times. Bytes that are not acknowledged end a connection after 3 s instead of 2 s; requests, streams and items have shorter limits of their own. No other code sets the option, and no library in use does by itself (searched). Evidence: test_one_lost_probe_ends_no_connection computes the rule from the socket's options; it fails on the former values with 1 probe.

--- a/packages/ebonylb/src/ebonylb/platform/sockets.py
+++ b/packages/ebonylb/src/ebonylb/platform/sockets.py
@@ -2,12 +2,14 @@
 
 import socket
 
-# Closes a connection whose sent bytes are not acknowledged in this time. A machine
-# without power sends no reset, and the kernel's default limit is minutes.
-USER_TIMEOUT_MS = 2_000
-KEEPALIVE_IDLE_S = 2
+KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# Closes a connection whose sent bytes are not acknowledged in this time. A machine
+# without power sends no reset, and the kernel's default limit is minutes. Where it is
+# set, Linux ignores the number of probes: an idle connection ends at the first probe
+# time after this timeout, so that it must last for all probes.
+USER_TIMEOUT_MS = 1_000 * (KEEPALIVE_IDLE_S + KEEPALIVE_INTERVAL_S * KEEPALIVE_PROBES)
 
 
 def create_keepalive_socket(address_info: tuple) -> socket.socket:
--- a/packages/ebonylb/tests/test_connections.py
+++ b/packages/ebonylb/tests/test_connections.py
@@ -20,6 +20,7 @@
 )
 from ebonylb.outcomes import StepError
 from ebonylb.platform.servers import HttpServerClient, trace_connections
+from ebonylb.platform.sockets import create_keepalive_socket
 from ebonylb.platform.store import PlatformRowStore
 from ebonylb_standins.waiting import until
 
@@ -137,6 +138,35 @@
         run(scenario())
 
 
+class TestKeepalive:
+    @staticmethod
+    def probes_until_end(connection):
+        """Return how many probes stay unanswered before Linux ends the connection."""
+
+        def read(option):
+            return connection.getsockopt(socket.IPPROTO_TCP, option)
+
+        user_timeout_s = read(socket.TCP_USER_TIMEOUT) / 1000
+        elapsed_s, probes = read(socket.TCP_KEEPIDLE), 0
+        while True:
+            if user_timeout_s:
+                is_over = probes > 0 and elapsed_s >= user_timeout_s
+            else:
+                is_over = probes >= read(socket.TCP_KEEPCNT)
+            if is_over:
+                return probes
+            probes += 1
+            elapsed_s += read(socket.TCP_KEEPINTVL)
+
+    def test_one_lost_probe_ends_no_connection(self):
+        """Guards against a user timeout that ends idle connections too early."""
+        address = ("127.0.0.1", 80)
+        address_info = (socket.AF_INET, socket.SOCK_STREAM, 0, "", address)
+        with create_keepalive_socket(address_info) as connection:
+            assert connection.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+            assert self.probes_until_end(connection) >= 2
+
+
 class TestBrokenAnswers:
     """An answer that broke off is no answer."""
 
