soak, tests: entry VMs cut off from all servers, with processes

Cause: no stand-in could cut one entry VM off from the servers while the store, its callers and the other entry VMs reached it. Change: CuttableSite has a proxy for each entry VM and server, and a view of the store with its addresses for each entry VM; a path that hangs keeps new connections in a full queue of the kernel. The soak cuts random entry VMs off, also all, from a generator of its own. TestCutOffEntryVms judges RECOVER over HTTP with bookings and kept connections, and reports the variants never_relay and relay_again. Soaks by hand have addresses that no test uses, and any number of entry VMs. ebonyctl trace shows cuts beside a request.

--- a/packages/ebonyctl/src/ebonyctl/traces.py
+++ b/packages/ebonyctl/src/ebonyctl/traces.py
@@ -21,6 +21,8 @@
     {
         "store lost",
         "store regained",
+        "no backend server is reachable",
+        "backend servers are reachable again",
         "entry VM started",
         "entry VM leaving",
         "entry VM stopped",
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_servers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_servers.py
@@ -76,6 +76,8 @@
     stream_parts : list of (str, int, str)
         Id, number of the first event and software version of each stream. The id is
         that of the request whose stream a caller takes up.
+    work_s : float
+        Duration of a plain request.
     lost_response_share : float
         Share, from 0 to 1, of plain requests that run and whose response is lost.
     """
@@ -98,6 +100,7 @@
     limit_per_s: float | None = None
     software_version: str = "v1"
     stream_parts: list[tuple[str, int, str]] = field(default_factory=list)
+    work_s: float = 0.01
     lost_response_share: float = 0.0
     random: Random = field(default_factory=lambda: Random(1))
 
@@ -208,7 +211,7 @@
         try:
             if self.models:
                 return await self.stream_events(request, request_id, headers)
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(self.work_s)
             if self.fault == "reset" or self.random.random() < self.lost_response_share:
                 request.transport.abort()
                 raise asyncio.CancelledError
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import ipaddress
 import json
 import os
 import signal
@@ -26,6 +27,7 @@
 ZONES = {"north": "gorge", "south": "gorge", "high": "highland"}
 HOST = "site.example"
 READY_TIMEOUT_S = 60.0  # a start takes 0.5 s on an idle machine, longer on a busy one
+LOOPBACK_NETWORK = ipaddress.IPv4Address("127.0.0.0")
 PROGRAM = ("-m", "ebonylb.service.site_main")
 
 
@@ -208,7 +210,7 @@
     seed : int
         Seed of the store's random faults.
     first_ip : int
-        Last number of the first entry VM's address; each further one adds 1.
+        Number of the first entry VM's address in 127.0.0.0/8; each further one adds 1.
     program : tuple of str
         Arguments of the Python interpreter for each entry VM.
     """
@@ -277,9 +279,13 @@
     async def add_server(self, server: HttpServer, zone: str) -> None:
         """Start a backend server and register it."""
         self.servers[server.name] = server
-        self.server_addresses[server.name] = await self.listen(server.build_app())
+        self.server_addresses[server.name] = await self.listen_for_server(server)
         self.register(server, zone)
 
+    async def listen_for_server(self, server: HttpServer) -> str:
+        """Serve a backend server and return its address."""
+        return await self.listen(server.build_app())
+
     def register(self, server: HttpServer, zone: str, state: str = "ready") -> None:
         """Write the server's registration row to the store."""
         entry = server.registration_row(self.server_addresses[server.name], zone, state)
@@ -291,7 +297,7 @@
 
     async def add_entry_vm(self, name: str, zone: str) -> EntryVmProcess:
         """Start an entry VM on its own loopback address."""
-        ip = f"127.0.0.{self.first_ip + len(self.vms)}"
+        ip = str(LOOPBACK_NETWORK + self.first_ip + len(self.vms))
         vm = EntryVmProcess(
             name, ip, zone, self.store_address_for(name), self.folder, self.program
         )
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_store.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_store.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import base64
+import json
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -20,6 +22,8 @@
 
 from .row_store import MemoryRowStore, StoreData
 
+ADDRESS_OF = web.AppKey("address_of", Callable)
+
 
 @dataclass
 class HttpStoreFaults:
@@ -43,13 +47,24 @@
     added_delay_ms: float = 0.0
 
 
-def encode_row(row: StoredRow) -> dict[str, Any]:
+AddressOf = Callable[[str], str | None]
+
+
+def replace_address(row: StoredRow, address_of: AddressOf) -> bytes:
+    """Return the value of a server's row with the address that a reader should use."""
+    address = address_of(row.row_key.key)
+    if row.row_key.table != "servers" or row.deleted or address is None:
+        return row.value
+    return json.dumps({**json.loads(row.value), "Address": address}).encode()
+
+
+def encode_row(row: StoredRow, address_of: AddressOf) -> dict[str, Any]:
     """Return the fields of a row in the platform's JSON format."""
     return {
         "Table": row.row_key.table,
         "part": row.row_key.part,
         "Key": row.row_key.key,
-        "Value": base64.b64encode(row.value).decode(),
+        "Value": base64.b64encode(replace_address(row, address_of)).decode(),
         "Ver": row.version,
         **({"Deleted": True} if row.deleted else {}),
     }
@@ -78,9 +93,17 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.call_count = 0
 
-    def build_app(self) -> web.Application:
-        """Return the web application that serves the store's paths."""
+    def build_app(self, address_of: AddressOf = lambda name: None) -> web.Application:
+        """Return a web application that serves the store's paths.
+
+        Parameters
+        ----------
+        address_of : callable
+            Returns the address of a server in this view of the store, by its name;
+            None for that of its row.
+        """
         app = web.Application(client_max_size=2_000_000)
+        app[ADDRESS_OF] = address_of
         app.router.add_post("/api/rows-tx", self.handle_transaction)
         app.router.add_get("/api/rows-get", self.handle_read)
         app.router.add_get("/api/rows-feed", self.handle_feed)
@@ -95,10 +118,13 @@
         if self.faults.down:
             raise web.HTTPServiceUnavailable
 
-    def rows_response(self, rows: list[StoredRow], status: int = 200) -> web.Response:
+    def rows_response(
+        self, request: web.Request, rows: list[StoredRow], status: int = 200
+    ) -> web.Response:
         """Return a response with rows and the store's current version."""
+        address_of = request.app[ADDRESS_OF]
         body = {
-            "Rows": [encode_row(row) for row in rows],
+            "Rows": [encode_row(row, address_of) for row in rows],
             "HasMore": False,
             "Ver": self.data.version,
             "NowMs": int(asyncio.get_running_loop().time() * 1_000),
@@ -129,8 +155,8 @@
         if self.random.random() < self.faults.lost_response_share:
             await self.abort_connection(request)
         if isinstance(outcome, Applied):
-            return self.rows_response([])
-        return self.rows_response(list(outcome.rows), status=412)
+            return self.rows_response(request, [])
+        return self.rows_response(request, list(outcome.rows), status=412)
 
     async def apply_late(
         self, delay_s: float, conditions: list[Condition], puts: list[Put]
@@ -155,7 +181,7 @@
             query.get("From", ""),
             query.get("Target", ""),
         )
-        return self.rows_response(list(page.ok_value.rows))
+        return self.rows_response(request, list(page.ok_value.rows))
 
     async def handle_feed(self, request: web.Request) -> web.Response:
         """Wait for changes of a table; 410 when the history was dropped."""
@@ -166,7 +192,7 @@
         )
         if page.is_err() and isinstance(page.err_value, HistoryLostError):
             raise web.HTTPGone
-        return self.rows_response(list(page.ok_value.rows))
+        return self.rows_response(request, list(page.ok_value.rows))
 
     async def handle_partitions(self, request: web.Request) -> web.Response:
         """Respond with the partitions of a table."""
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/proxy.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/proxy.py
@@ -48,11 +48,19 @@
 
     async def start(self) -> "FaultProxy":
         """Listen on a free port and return the proxy."""
-        self.server = await asyncio.start_server(self.handle_connection, "127.0.0.1", 0)
+        self.address = "127.0.0.1:0"
+        await self.listen()
         host, port = self.server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
         return self
 
+    async def listen(self) -> None:
+        """Listen at the proxy's address."""
+        host, port = self.address.rsplit(":", 1)
+        self.server = await asyncio.start_server(
+            self.handle_connection, host, int(port)
+        )
+
     async def handle_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/__main__.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/__main__.py
@@ -9,10 +9,10 @@
 import cappa
 
 from ..site.http_site import PROGRAM
-from .run import run_soak
+from .run import ENTRY_VMS, run_soak
 
-# Last numbers of the addresses 127.0.0.N. Each concurrent soak uses four of its six.
-FIRST_IP, IPS_PER_SOAK = 140, 6
+# Addresses from 127.0.4.0 on, which no test uses.
+FIRST_IP = 4 * 256
 
 
 @dataclass
@@ -23,6 +23,7 @@
     seed: Annotated[int, cappa.Arg(long=True, help="First seed.")] = 1
     seconds: Annotated[float, cappa.Arg(long=True, help="Length of the faults.")] = 12
     at_once: Annotated[int, cappa.Arg(long=True, help="Soaks at the same time.")] = 2
+    entry_vms: Annotated[int, cappa.Arg(long=True, help="Entry VMs.")] = ENTRY_VMS
     broken: Annotated[str, cappa.Arg(long=True, help="Broken variant to run.")] = ""
     keep: Annotated[str, cappa.Arg(long=True, help="Folder of failed runs.")] = ""
 
@@ -31,7 +32,7 @@
     """Run all seeds, print their results and return the number of failed seeds."""
     free_ips: asyncio.Queue[int] = asyncio.Queue()
     for number in range(options.at_once):
-        free_ips.put_nowait(FIRST_IP + number * IPS_PER_SOAK)
+        free_ips.put_nowait(FIRST_IP + number * options.entry_vms)
     failed = 0
 
     async def run_seed(seed: int) -> None:
@@ -42,7 +43,9 @@
             program = PROGRAM
             if options.broken:
                 program = ("-m", "ebonylb_standins.soak.broken", options.broken)
-            failures = await run_soak(seed, options.seconds, ip, log_folder, program)
+            failures = await run_soak(
+                seed, options.seconds, ip, log_folder, program, options.entry_vms
+            )
         finally:
             free_ips.put_nowait(ip)
         failed += bool(failures)
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/broken.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/broken.py
@@ -11,7 +11,7 @@
 
 from ebonylb.batches import item_run, repository, rows
 from ebonylb.fleet import directory
-from ebonylb.forwarding import attempt, request_runs, stream_origins
+from ebonylb.forwarding import attempt, failover, request_runs, stream_origins
 from ebonylb.limits import shares
 from ebonylb.orders import leases
 from ebonylb.service.site_main import main
@@ -115,6 +115,16 @@
     stream_origins.StreamOrigins.required_version = required_version
 
 
+def never_relay() -> None:
+    """Send requests to servers only, whether they can be reached or not."""
+    failover.FailoverRuns.run = lambda self, state: self.direct.run(state)
+
+
+def relay_again() -> None:
+    """Pass a request on although it has had a connection and may run only once."""
+    failover.can_repeat = lambda state: True
+
+
 VARIANTS: dict[str, Callable[[], None]] = {
     function.__name__: function
     for function in (
@@ -128,6 +138,8 @@
         forget_departures,
         share_no_limits,
         forget_origins,
+        never_relay,
+        relay_again,
     )
 }
 
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/faults.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/faults.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from ..processes import ends_within
+from ..site.cut_path import PathState
 from ..site.http_servers import HttpServer
 from ..site.http_site import ENGINE, MODELS, ZONES, configuration
 
@@ -214,6 +215,25 @@
         await asyncio.sleep(rng.uniform(1.0, 4.0))
 
 
+async def cut_paths(site: "SoakSite", rng: random.Random, until_s: float) -> None:
+    """Cut entry VMs off from all servers, and sometimes all entry VMs.
+
+    It draws from a generator of its own, as `grow_and_reset` does.
+    """
+    loop = asyncio.get_running_loop()
+    while loop.time() < until_s:
+        await asyncio.sleep(rng.uniform(0.5, 3.0))
+        names = rng.sample(sorted(site.vms), rng.randint(1, len(site.vms)))
+        state = rng.choice([PathState.HANG, PathState.RESET, PathState.REFUSE])
+        site.record_event("fault", f"cut_paths {state.name} {' '.join(names)}")
+        for name in names:
+            await site.cut_off(name, state)
+        await asyncio.sleep(rng.uniform(1.0, 6.0))
+        for name in names:
+            await site.reconnect(name)
+        site.record_event("fault", "cut_paths healed")
+
+
 async def inject_faults(site: "SoakSite", rng: random.Random, until_s: float) -> None:
     """Start random faults at random intervals, without waiting for them to end.
 
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/run.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/run.py
@@ -7,19 +7,22 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from ..site.http_servers import scoring_id
-from ..site.http_site import PROGRAM, EntryVmProcess, HttpSite
-from .faults import grow_and_reset, inject_faults
+from ..site.cuttable_site import CuttableSite
+from ..site.http_servers import HttpServer, scoring_id
+from ..site.http_site import PROGRAM, EntryVmProcess
+from ..site.proxy import FaultProxy
+from .faults import cut_paths, grow_and_reset, inject_faults
 from .load import Caller, Trainer
-from .proxy import FaultProxy
 
 LEASE_S = 3.0
-CALLERS, TRAINERS = 4, 3
+CALLERS, TRAINERS, ENTRY_VMS = 4, 3, 4
 LOST_RESPONSE_SHARE = 0.03
 
 
-class SoakSite(HttpSite):
-    """Site with a fault proxy on each entry VM's path to the store and to each server.
+class SoakSite(CuttableSite):
+    """Site with fault proxies to the store and to each server.
+
+    Each entry VM has a proxy of its own to the store, and each server one for all.
 
     Attributes
     ----------
@@ -60,27 +63,21 @@
         """Return whether an entry VM has reported ready since its last start."""
         return vm.name in self.ready_vm_names
 
-    async def add_server(self, server, zone: str) -> None:
-        """Start a server behind a proxy; it loses a share of responses throughout."""
+    async def listen_for_server(self, server: HttpServer) -> str:
+        """Serve a server behind a proxy; it loses a share of responses throughout."""
         server.lost_response_share = LOST_RESPONSE_SHARE
-        self.servers[server.name] = server
-        proxy = FaultProxy(await self.listen(server.build_app()), self.random)
+        proxy = FaultProxy(await super().listen_for_server(server), self.random)
         self.server_proxies[server.name] = await proxy.start()
         self.resources.callback(proxy.close)
-        self.server_addresses[server.name] = proxy.address
-        self.register(server, zone)
+        return proxy.address
 
-    async def add_entry_vm(self, name: str, zone: str) -> EntryVmProcess:
-        """Start an entry VM that reaches the store through its own proxy."""
-        proxy = FaultProxy(self.store_address, self.random)
+    async def listen_for_store(self, name: str) -> str:
+        """Serve an entry VM's view of the store behind a proxy of its own."""
+        proxy = FaultProxy(await super().listen_for_store(name), self.random)
         self.store_proxies[name] = await proxy.start()
         self.resources.callback(proxy.close)
         self.ready_vm_names: set[str] = getattr(self, "ready_vm_names", set())
-        return await super().add_entry_vm(name, zone)
-
-    def store_address_for(self, name: str) -> str:
-        """Return the address of the entry VM's proxy to the store."""
-        return self.store_proxies[name].address
+        return proxy.address
 
     async def wait_ready(self, vm: EntryVmProcess) -> None:
         """Wait until an entry VM is ready and record that it is."""
@@ -187,6 +184,7 @@
     first_ip: int,
     log_folder: Path | None = None,
     program: Sequence[str] = PROGRAM,
+    entry_vms: int = ENTRY_VMS,
 ) -> list[tuple[float, str, str]]:
     """Run one soak and return the failed checks as (time in s, check, detail).
 
@@ -200,13 +198,17 @@
     seconds : float
         Duration of faults and load.
     first_ip : int
-        Last number of the first entry VM's address.
+        Number of the first entry VM's address in 127.0.0.0/8.
     log_folder : Path or None
         Folder for the logs of a failed run.
     program : sequence of str
         Arguments of the Python interpreter for each entry VM.
+    entry_vms : int
+        Number of entry VMs.
     """
-    site = SoakSite(entry_vms=4, engines=3, desks=3, seed=seed, first_ip=first_ip)
+    site = SoakSite(
+        entry_vms=entry_vms, engines=3, desks=3, seed=seed, first_ip=first_ip
+    )
     site.program = tuple(program)
     site.initialize(seed)
     async with site:
@@ -224,6 +226,7 @@
         await asyncio.gather(
             inject_faults(site, rng, until_s),
             grow_and_reset(site, random.Random(f"growth-{seed}"), until_s),
+            cut_paths(site, random.Random(f"cuts-{seed}"), until_s),
             publish_versions(site, until_s),
             *(client.run(until_s) for client in (*trainers, *callers)),
         )
--- a/packages/ebonylb_standins/tests/test_site.py
+++ b/packages/ebonylb_standins/tests/test_site.py
@@ -5,10 +5,13 @@
 import os
 import signal
 import sys
+from collections import Counter
 
 import aiohttp
 import pytest
 
+from ebonylb_standins.site.cut_path import PathState
+from ebonylb_standins.site.cuttable_site import CuttableSite
 from ebonylb_standins.site.http_servers import event_text
 from ebonylb_standins.site.http_site import (
     DESK,
@@ -25,6 +28,7 @@
     StreamPart,
     find_mixed_streams,
 )
+from ebonylb_standins.site.recover_rule import Cut, FirstTry, judge
 
 TIMEOUT_S = 20.0
 
@@ -503,3 +507,91 @@
         variant = ("-m", "ebonylb_standins.soak.broken", "forget_origins")
         mixed, _ = asyncio.run(self.find_mixed(180, variant))
         assert len(mixed) > MAX_MIXED_STREAMS
+
+
+@pytest.mark.xdist_group("cut")
+class TestCutOffEntryVms:
+    """Two of three entry VMs reach no server; callers keep their connections."""
+
+    CUT_S = 7.0
+
+    async def serve_through_cut(self, first_ip, state, program=PROGRAM):
+        """Return the site's judgement and the number of runs of each booking."""
+        async with CuttableSite(
+            first_ip=first_ip, entry_vms=3, engines=1, desks=3, program=program
+        ) as site:
+            loop = asyncio.get_running_loop()
+            tries, runs = [], Counter()
+            for server in site.servers.values():
+                # So long that some bookings run when the cut begins.
+                server.work_s = 0.2
+
+            async def call(session, vm, kind, number):
+                request_id = f"{kind}-{vm.name}-{number}"
+                began_ms = loop.time() * 1000
+                try:
+                    async with session.post(
+                        f"http://{vm.front_address}/{kind}/1",
+                        data=b"x",
+                        headers={
+                            "Host": HOST,
+                            "Ebonylb-Request-Id": request_id,
+                            "Ebonylb-Deadline-Ms": "2000",
+                        },
+                    ) as response:
+                        served = response.status == 200
+                        await response.read()
+                except aiohttp.ClientError:
+                    served = False
+                tries.append(FirstTry(began_ms, vm.name, served))
+
+            async def call_until(end_s):
+                async with (
+                    aiohttp.ClientSession() as session,
+                    asyncio.TaskGroup() as group,
+                ):
+                    number = 0
+                    while loop.time() < end_s:
+                        number += 1
+                        kind = ("ask", "book")[number % 2]
+                        for vm in site.vms.values():
+                            group.create_task(call(session, vm, kind, number))
+                        await asyncio.sleep(0.1)
+
+            calls = asyncio.create_task(call_until(loop.time() + self.CUT_S + 2))
+            await asyncio.sleep(1)
+            begin_ms = loop.time() * 1000
+            for name in ("vm-0", "vm-1"):
+                await site.cut_off(name, state)
+            await asyncio.sleep(self.CUT_S)
+            cut = Cut(begin_ms, loop.time() * 1000, {"vm-0", "vm-1"})
+            for name in ("vm-0", "vm-1"):
+                await site.reconnect(name)
+            await calls
+            for server in site.servers.values():
+                runs.update(
+                    {k: n for k, n in server.run_counts.items() if k.startswith("book")}
+                )
+            return judge(cut, tries), runs
+
+    @pytest.mark.parametrize(
+        ("state", "first_ip"),
+        [(PathState.HANG, 186), (PathState.RESET, 189), (PathState.REFUSE, 192)],
+    )
+    def test_their_callers_are_served(self, state, first_ip):
+        """Guards against requests that only try servers their entry VM cannot reach."""
+        judgement, runs = asyncio.run(self.serve_through_cut(first_ip, state))
+        assert judgement.inside.tries > 30 and judgement.outside.share > 0.9
+        assert not judgement.is_broken, judgement
+        assert max(runs.values()) == 1
+
+    @pytest.mark.parametrize(
+        ("variant", "breaks_rule"), [("never_relay", True), ("relay_again", False)]
+    )
+    def test_the_checks_report_a_broken_variant(self, variant, breaks_rule):
+        program = ("-m", "ebonylb_standins.soak.broken", variant)
+        judgement, runs = asyncio.run(
+            self.serve_through_cut(195, PathState.HANG, program)
+        )
+        assert judgement.is_broken == breaks_rule
+        assert (max(runs.values()) > 1) == (not breaks_rule)
