forwarding: a stream whose caller is lost before it begins frees its server

Cause: a generator that was never started does not run its clean-up when it is closed. When the caller's connection was lost between the answer of the server and the first byte to the caller, the connection to the server stayed open until the collector found it, and the request counted as in progress for good; with the check for silence that would have meant a new connection each 0.6 s. Found by reading. Change: a stream names how its connection is closed, and whoever sends it on calls that at the end. Evidence: test_a_stream_that_nobody_reads_holds_no_connection.

--- a/packages/ebonylb/src/ebonylb/adapters/relay_http.py
+++ b/packages/ebonylb/src/ebonylb/adapters/relay_http.py
@@ -195,6 +195,7 @@
             raise asyncio.CancelledError from error
         finally:
             await answer.chunks.aclose()
+            answer.abandon()
         await response.write(make_frame(b""))
         await response.write_eof()
         return response
--- a/packages/ebonylb/src/ebonylb/forwarding/messages.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/messages.py
@@ -1,6 +1,6 @@
 """Requests of callers and the responses to them."""
 
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from dataclasses import dataclass
 
 from ..fleet import ListedServer
@@ -94,12 +94,16 @@
         Complete events; raises `StepError` when the stream breaks before its end.
     source : AnswerSource
         Server that began the stream.
+    abandon : callable
+        Closes the connection to that server; to be called at the end. A generator that
+        was never started does not do so when it is closed.
     """
 
     status: int
     headers: Headers
     chunks: AsyncGenerator[bytes, None]
     source: AnswerSource
+    abandon: Callable[[], None]
 
 
 def make_refusal(
--- a/packages/ebonylb/src/ebonylb/forwarding/request_runs.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/request_runs.py
@@ -326,7 +326,9 @@
                 return await self.read_error_response(state, server, response)
             chunks = relay_stream(self, state, server, response)
             source = AnswerSource(server, head)
-            return CallerStream(head.status, head.headers, chunks, source)
+            return CallerStream(
+                head.status, head.headers, chunks, source, response.close
+            )
 
     def record_open_failure(
         self, state: RequestState, server: ListedServer, error: StepError
--- a/packages/ebonylb/src/ebonylb/platform/ingress.py
+++ b/packages/ebonylb/src/ebonylb/platform/ingress.py
@@ -231,13 +231,13 @@
         for name, value in stream.headers:
             response.headers.add(name, value)
         response.enable_chunked_encoding()
-        await response.prepare(request)
         try:
             # Closed immediately if the caller disconnects, so that the backend server
             # stops its work.
             async with contextlib.aclosing(stream.chunks) as chunks:
                 async for chunk in chunks:
                     await response.write(chunk)
+            await response.prepare(request)
         except StepError as error:
             logger.info("stream ended early", extra={"cause": str(error)})
             if request.transport is not None:
@@ -248,6 +248,8 @@
 
     async def submit_batch(self, message: CallerRequest, route: str) -> web.Response:
         """Submit the batch in a request and return the response."""
+        finally:
+            stream.abandon()
         if message.method != "POST":
             return web.Response(status=405)
         batch = decode_batch(
--- a/packages/ebonylb/src/ebonylb/relay/receiver.py
+++ b/packages/ebonylb/src/ebonylb/relay/receiver.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from dataclasses import dataclass
 
 from ..fleet import ServerReachability
@@ -37,11 +37,14 @@
         Complete body; empty for a stream.
     chunks : async generator of bytes or None
         Complete events of a stream; None for a plain answer.
+    abandon : callable
+        To be called at the end of a stream, as for `CallerStream`.
     """
 
     head: ResponseHead
     body: bytes = b""
     chunks: AsyncGenerator[bytes, None] | None = None
+    abandon: Callable[[], None] = lambda: None
 
 
 def refuse(refusal: Refusal, status: int = 503) -> RelayedAnswer:
@@ -158,5 +161,5 @@
             ),
         )
         if isinstance(response, CallerStream):
-            return RelayedAnswer(head, chunks=response.chunks)
+            return RelayedAnswer(head, chunks=response.chunks, abandon=response.abandon)
         return RelayedAnswer(head, response.body)
--- a/packages/ebonylb/tests/test_relay.py
+++ b/packages/ebonylb/tests/test_relay.py
@@ -20,6 +20,7 @@
     ServerAddress,
 )
 from ebonylb.outcomes import Outcome, Refusal, StepError
+from ebonylb.platform.ingress import Ingress
 from ebonylb.platform.servers import trace_connections
 from ebonylb.relay import RelayedAnswer
 from ebonylb.relay.entry_vms import TABLE
@@ -495,6 +496,28 @@
                 await world.clock.sleep_ms(300)
                 vms[0].path.cut(PathState.RESET)
                 blocks = await reading
+    def test_a_stream_that_nobody_reads_holds_no_connection(self, monkeypatch):
+        """Guards against requests that count as in progress for ever."""
+
+        async def lose_caller(self, request):
+            raise ConnectionResetError
+
+        monkeypatch.setattr(web.StreamResponse, "prepare", lose_caller)
+
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            world.port.planned_responses["q"] = PlannedResponse(self.EVENTS)
+            stream = await serve(vm, make_request(world, path="/chat/1"))
+            assert vm.reachability.in_progress == 1
+            ingress = Ingress(vm.forwarder, vm.batches, None, world.clock, None)
+            with pytest.raises(ConnectionResetError):
+                await ingress.forward_stream(None, stream)
+            assert vm.reachability.in_progress == 0
+            assert not any(server.running for server in world.port.servers.values())
+
+        run_virtual(scenario())
+
                 self.check(blocks)
                 assert len({block.count(b"@v2") for block in blocks}) == 1
                 vms[0].path.heal()
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/relay_path.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/relay_path.py
@@ -73,6 +73,7 @@
         """Abandon the answer."""
         if self.sending is not None:
             self.sending.cancel()
+        self.answer.abandon()
 
 
 class LocalRelayClient(RelayClient):
