fleet: requests that no server accepts share their checks

Cause, by reading: each request that was refused because its servers accepted no connection had the connections checked again, also while a whole service was down: a connection for each request. Change: such a request takes the result of a check of up to 0.2 s. The stand-in path marks a request as connected only when its server accepts the connection.

--- a/packages/ebonylb/src/ebonylb/fleet/reachability.py
+++ b/packages/ebonylb/src/ebonylb/fleet/reachability.py
@@ -25,6 +25,8 @@
 MAX_OTHER_SERVERS = 4
 # Least time between the end of a successful check and the start of the next one.
 MIN_CHECK_INTERVAL_MS = 500.0
+# A request that no server accepts is answered by the result of a check of this age.
+MAX_RESULT_AGE_MS = 200.0
 # Interval between checks while no server is reachable.
 RECHECK_INTERVAL_MS = 500.0
 # Requests are in progress and no server has sent a byte for this time.
@@ -155,6 +157,12 @@
             self.check_task = asyncio.create_task(self.run_check())
         return await asyncio.shield(self.check_task)
 
+    async def check_unless_recent(self) -> bool:
+        """Return the result of a check that is not older than `MAX_RESULT_AGE_MS`."""
+        if self.clock.monotonic_ms() - self.checked_ms < MAX_RESULT_AGE_MS:
+            return not self.is_cut_off
+        return await self.check()
+
     async def run_check(self) -> bool:
         """Open connections until one is accepted, and record the result."""
         for _ in range(MAX_PAUSED_CHECKS):
--- a/packages/ebonylb/src/ebonylb/forwarding/failover.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/failover.py
@@ -65,7 +65,7 @@
     async def choose_runs(self, has_failed_to_connect: bool) -> RequestRuns:
         """Return the runs for work that begins now, after a check if one has failed."""
         if has_failed_to_connect and not self.reachability.is_cut_off:
-            await self.reachability.check()
+            await self.reachability.check_unless_recent()
         return self.current_runs()
 
     async def run(self, state: RequestState) -> CallerResponse | CallerStream:
@@ -88,7 +88,7 @@
             refusal is not None
             and refusal.outcome is Outcome.NOT_RUN
             and state.failed_connections
-            and not await self.reachability.check()
+            and not await self.reachability.check_unless_recent()
         ):
             return await self.relay(state)
         return response
--- a/packages/ebonylb/tests/test_reachability.py
+++ b/packages/ebonylb/tests/test_reachability.py
@@ -15,11 +15,13 @@
 from ebonylb.fleet.reachability import (
     CONNECT_TIMEOUT_MS,
     MAX_OTHER_SERVERS,
+    MAX_RESULT_AGE_MS,
     MAX_SILENCE_MS,
     MIN_CHECK_INTERVAL_MS,
     RECHECK_INTERVAL_MS,
     WATCH_INTERVAL_MS,
 )
+from ebonylb.forwarding import CallerRequest
 from ebonylb.interfaces.server_client import (
     ResponseHead,
     ServerActivity,
@@ -29,6 +31,7 @@
 from ebonylb_standins.histories.virtual_time import LoopClock, run_virtual
 from ebonylb_standins.site.cut_path import CutPath, PathState
 from ebonylb_standins.site.servers import FakeServer, FakeServers
+from ebonylb_standins.site.world import World
 
 # Until a cut is known: a slow connection is noticed, and a check runs. The check ends
 # when the other servers, which are tried after the first one, have not answered.
@@ -157,6 +160,33 @@
 
         run_virtual(scenario())
 
+    def test_requests_for_a_dead_service_share_their_checks(self):
+        """Guards against a connection for each request that no server accepts."""
+
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            for name in ("p0", "p1"):
+                world.port.servers[name].mode = "absent"
+            for number in range(200):
+                request = CallerRequest(
+                    f"q{number}",
+                    "POST",
+                    "site",
+                    "/ask/1",
+                    "/ask/1",
+                    (("Host", "site"),),
+                    b"",
+                    world.clock.monotonic_ms(),
+                    2_000.0,
+                )
+                await vm.forwarder.serve(request, vm.forwarder.find_route(request))
+            checks = world.clock.monotonic_ms() / MAX_RESULT_AGE_MS + 1
+            assert not vm.reachability.is_cut_off
+            assert 0 < vm.path.checked_connections <= checks + MAX_OTHER_SERVERS
+
+        run_virtual(scenario())
+
     def test_no_listed_server_is_no_cut(self):
         async def scenario():
             site = Site(servers=0)
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/cut_path.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/cut_path.py
@@ -96,6 +96,8 @@
         Number of idle open connections to each server.
     resets : int
         Number of times that all open connections were reset.
+    checked_connections : int
+        Number of connections that were opened only to check that a server accepts one.
     activity : ServerActivity
         Time of the last byte that got through.
     """
@@ -106,6 +108,7 @@
         self.state = PathState.SOUND
         self.kept: Counter[str] = Counter()
         self.resets = 0
+        self.checked_connections = 0
         self.activity = ServerActivity()
         self.healed = asyncio.Event()
 
@@ -154,9 +157,9 @@
         """Send a request over a kept or a new connection."""
         if self.kept[server.name]:
             self.kept[server.name] -= 1
+            request.progress.connected = True
         elif not await self.connect(server.name):
             return Err(StepError("open", server.name, "no connection", False))
-        request.progress.connected = True
         resets = self.resets
         try:
             await self.pass_through(server.name, resets)
@@ -186,6 +189,7 @@
 
     async def is_reachable(self, server: ServerAddress) -> bool:
         """Return whether the server accepts a connection."""
+        self.checked_connections += 1
         return await self.connect(server.name) and await self.client.is_reachable(
             server
         )
