relay: connections show which entry VMs still run

What callers saw: in a test with 13 of 19 entry VMs gone, some runs refused a request as not run after six of them (`no_server_reachable`). Cause: the row of an entry VM that has lost power lasts for minutes, and one that had answered before it was lost was preferred.

--- a/packages/ebonylb/src/ebonylb/adapters/connections.py
+++ b/packages/ebonylb/src/ebonylb/adapters/connections.py
@@ -87,6 +87,18 @@
         return super().is_connected() and not self.should_close
 
 
+async def accepts_connection(address: str, timeout_s: float) -> bool:
+    """Return whether a server at ``ip:port`` accepts a connection in time."""
+    host, port = address.rsplit(":", 1)
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return True
+
+
 class StrictConnector(aiohttp.TCPConnector):
     """Connector that opens `StrictConnection` objects.
 
--- a/packages/ebonylb/src/ebonylb/adapters/relay_http.py
+++ b/packages/ebonylb/src/ebonylb/adapters/relay_http.py
@@ -23,6 +23,7 @@
 )
 from ..outcomes import StepError
 from ..relay.receiver import RelayedAnswer
+from .connections import accepts_connection
 from .http import NOT_SENT_ERRORS, describe_error
 
 RELAY_PATH = "/relay"
@@ -133,6 +134,10 @@
         first_event = (request.resume_after or 0) + 1
         return Ok(RelayResponse(response, entry_vm.name, head, first_event))
 
+    async def is_reachable(self, entry_vm: ServerAddress) -> bool:
+        """Return whether an entry VM accepts a connection."""
+        return await accepts_connection(entry_vm.address, CONNECT_TIMEOUT_S)
+
     async def read_head(self, response: aiohttp.ClientResponse) -> ResponseHead:
         """Return the head; otherwise close the response and raise `ValueError`."""
         try:
--- a/packages/ebonylb/src/ebonylb/interfaces/relay.py
+++ b/packages/ebonylb/src/ebonylb/interfaces/relay.py
@@ -59,3 +59,7 @@
 
         The error has ``may_have_run=False`` only if no byte of the request was sent.
         """
+
+    @abstractmethod
+    async def is_reachable(self, entry_vm: ServerAddress) -> bool:
+        """Return whether an entry VM accepts a connection."""
--- a/packages/ebonylb/src/ebonylb/platform/servers.py
+++ b/packages/ebonylb/src/ebonylb/platform/servers.py
@@ -1,6 +1,5 @@
 """HTTP client of backend servers."""
 
-import asyncio
 from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass
 from types import SimpleNamespace
@@ -11,6 +10,7 @@
 from result import Err, Ok, Result
 from yarl import URL
 
+from ..adapters.connections import accepts_connection
 from ..adapters.http import NOT_SENT_ERRORS, describe_error
 from ..interfaces.server_client import (
     ModelVersion,
@@ -344,11 +344,4 @@
 
     async def is_reachable(self, server: ServerAddress) -> bool:
         """Return whether the server accepts a connection."""
-        host, port = server.address.rsplit(":", 1)
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except (OSError, TimeoutError):
-            return False
-        writer.close()
-        return True
+        return await accepts_connection(server.address, CONNECT_TIMEOUT_S)
--- a/packages/ebonylb/src/ebonylb/relay/__init__.py
+++ b/packages/ebonylb/src/ebonylb/relay/__init__.py
@@ -2,6 +2,7 @@
 
 from .announcement import Announcement
 from .entry_vms import EntryVms
+from .helper_probes import HelperProbes
 from .receiver import RelayedAnswer, RelayReceiver
 from .relay_pool import RelayPool
 from .relayed_runs import RelayedRuns
@@ -10,6 +11,7 @@
 __all__ = [
     "Announcement",
     "EntryVms",
+    "HelperProbes",
     "RelayPool",
     "RelayReceiver",
     "RelayedAnswer",
--- a/packages/ebonylb/src/ebonylb/relay/relay_pool.py
+++ b/packages/ebonylb/src/ebonylb/relay/relay_pool.py
@@ -31,8 +31,8 @@
 # Cost of an entry VM by its distance, and for each request in progress there.
 DISTANCE_COST = (0.0, 2.0, 8.0)
 # Cost of an entry VM that has not answered within the time: it may have ended since.
-UNPROVEN_COST = 1.0
-PROVEN_MS = 10_000.0
+UNPROVEN_COST = 4.0
+PROVEN_MS = 5_000.0
 # All entry VMs check this often whether they reach servers again.
 NONE_REACHES_RETRY_AFTER_MS = 500
 RETRY_AFTER_MS = 100
@@ -53,6 +53,8 @@
         Location of this entry VM, and the gaps between events.
     relay_client : RelayClient
         Connections to entry VMs.
+    report_lost : callable
+        Called when a request could not be passed on to an entry VM.
     note_answer : callable
         Called with the server, the head and the monotonic time of the sending of each
         answer that is passed on: what a server says of itself holds here, too.
@@ -64,12 +66,14 @@
         entry_vms: EntryVms,
         selector: ServerSelector,
         relay_client: RelayClient,
+        report_lost: Callable[[], None],
         note_answer: NoteAnswer,
     ) -> None:
         self.name = name
         self.entry_vms = entry_vms
         self.selector = selector
         self.relay_client = relay_client
+        self.report_lost = report_lost
         self.note_answer = note_answer
 
     @property
@@ -177,6 +181,8 @@
         sent_ms = self.selector.clock.monotonic_ms()
         opened = await self.relay_client.open(server.endpoint, request)
         if not isinstance(opened, Ok):
+            self.condition(server).last_sign_ms = -1e12
+            self.report_lost()
             return opened
         response = opened.ok_value
         head = response.head
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -56,6 +56,7 @@
 from ..relay import (
     Announcement,
     EntryVms,
+    HelperProbes,
     RelayedRuns,
     RelayPool,
     RelayReceiver,
@@ -213,6 +214,7 @@
             self.entry_vms,
             self.selector,
             self.dependencies.relay_client,
+            self.helper_probes.probe_soon,
             self.note_relayed_answer,
         )
         shared = (self.strikes, self.stream_origins, clock, metrics, log)
@@ -245,6 +247,12 @@
         self.entry_vms = EntryVms(self.identity.name, self.store_time)
         self.entry_vms.listeners.append(self.reachability.suspect_unless_heard)
         self.standby = Standby(self.reachability, self.entry_vms)
+        self.helper_probes = HelperProbes(
+            self.entry_vms,
+            self.dependencies.relay_client,
+            self.reachability,
+            self.dependencies.clock,
+        )
         self.announcement = Announcement(
             self.identity.name,
             self.identity.incarnation,
@@ -356,6 +364,7 @@
             **{f"follow {follower.table}": follower.run for follower in followers},
             "reachability": self.reachability.watch,
             "announcement": self.announcement.run,
+            "helper probes": self.helper_probes.run,
             "limits": self.limit_shares.run,
             "stream origins": self.stream_origins.delete_expired,
             "orders": self.order_controller.run,
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/relay_path.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/relay_path.py
@@ -98,3 +98,10 @@
         if target.is_stopped:
             return Err(StepError("relay", entry_vm.name, "connection reset"))
         return Ok(LocalRelayResponse(target, request, answer))
+
+    async def is_reachable(self, entry_vm: ServerAddress) -> bool:
+        """Return whether an entry VM runs."""
+        if self.entry_vms[entry_vm.name].is_stopped:
+            await self.clock.sleep_ms(CONNECT_TIMEOUT_MS)
+            return False
+        return True
