--- a/packages/ebonylb/src/ebonylb/fleet/model.py
+++ b/packages/ebonylb/src/ebonylb/fleet/model.py
@@ -41,6 +41,11 @@
     software_version : str
         Version of the server's software; versions have no order. A stream that began
         on one version cannot be continued on another.
+    reclaimable : bool
+        Whether the platform may take the server back at any time, with those of the
+        same kind in its failure domain.
+    leaves_in_ms : float or None
+        Remaining time of a leaving server as listed, if it is known.
     """
 
     name: str
@@ -53,6 +58,8 @@
     models: tuple[ModelVersion, ...] = ()
     started_ms: int | None = None
     software_version: str = ""
+    reclaimable: bool = False
+    leaves_in_ms: float | None = None
 
     @property
     def endpoint(self) -> ServerAddress:
--- a/packages/ebonylb/src/ebonylb/platform/node_settings.py
+++ b/packages/ebonylb/src/ebonylb/platform/node_settings.py
@@ -23,7 +23,11 @@
     "ConfigApplyMs": ("config_apply_ms", 1),
     # Time after which a crashing request may no longer reach a server.
     "StableWindowMs": ("stable_window_ms", 1),
+    "RevokeMs": ("revoke_ms", 1),
+    "ReportWindowS": ("report_window_ms", 1_000),
+    "UsageLateS": ("usage_late_ms", 1_000),
 }
+BOOLEANS = {"true": True, "false": False}
 
 
 def parse_lines(text: str) -> dict[str, str]:
@@ -49,6 +53,10 @@
                 bounds[field_name] = float(text) * factor
             except ValueError:
                 return Err(f"{path}: Bounds.{wire_name}={text!r} is not a number")
+    if (text := values.get("Bounds.StrictRevoke")) is not None:
+        if text not in BOOLEANS:
+            return Err(f"{path}: Bounds.StrictRevoke={text!r} is not true or false")
+        bounds["strict_revoke"] = BOOLEANS[text]
     required = {
         "name": "Node",
         "failure_domain": "Zone",
@@ -75,6 +83,14 @@
     if (row_bytes := values.get("Platform.RowBytes")) is not None:
         fields["row_bytes"] = int(row_bytes)
     fields["bounds"] = bounds
+    fields["control_plane_address"] = values.get("Cloud.Address", "")
+    duties = values.get("Cloud.Duties", "").split(",")
+    fields["duties"] = tuple(duty.strip() for duty in duties if duty.strip())
+    if (text := values.get("Cloud.DutyPerS")) is not None:
+        try:
+            fields["duty_calls_per_s"] = float(text)
+        except ValueError:
+            return Err(f"{path}: Cloud.DutyPerS={text!r} is not a number")
     try:
         return Ok(msgspec.convert(fields, SiteSettings))
     except msgspec.ValidationError as error:
--- a/packages/ebonylb/src/ebonylb/platform/row_decoding.py
+++ b/packages/ebonylb/src/ebonylb/platform/row_decoding.py
@@ -7,9 +7,11 @@
 from ..interfaces.server_client import ModelVersion
 from ..routes.model import (
     Configuration,
+    Customer,
     EngineShape,
     Route,
     RouteKind,
+    ScalingSpec,
     ServiceSpec,
     Target,
 )
@@ -50,6 +52,7 @@
     ResultDeadlineMs: float = 10_000
     SingleVersion: bool = False
     Resumable: bool = False
+    Public: bool = False
 
     def decode(self) -> Route:
         """Return the route as the internal type."""
@@ -70,6 +73,7 @@
             result_deadline_ms=self.ResultDeadlineMs,
             single_version=self.SingleVersion,
             resumable=self.Resumable,
+            public=self.Public,
         )
 
 
@@ -88,12 +92,45 @@
     Models: list[WireEngineModel] = []
 
 
+class WireScaling(msgspec.Struct):
+    """Bounds and prices of a service's servers, per failure domain.
+
+    `SpotPrice` is relative to the price of the other servers; `ZonePrices` are prices
+    of a server second.
+    """
+
+    Min: int = 0
+    Max: int = 1
+    BootS: float = 0.0
+    SpotPrice: float | None = None
+    ZonePrices: dict[str, float] = {}
+
+    def decode(self) -> ScalingSpec:
+        """Return the bounds and prices as the internal type."""
+        return ScalingSpec(
+            min_servers=max(0, self.Min),
+            max_servers=max(0, self.Min, self.Max),
+            boot_ms=self.BootS * 1_000,
+            reclaimable_price=self.SpotPrice,
+            domain_prices=dict(self.ZonePrices),
+        )
+
+
+class WireTenant(msgspec.Struct):
+    """Customer; 0 is the highest priority."""
+
+    Name: str
+    ApiKeys: list[str] = []
+    Priority: int | None = None
+
+
 class WireService(msgspec.Struct):
     """Service; only model services have an engine."""
 
     Name: str
     MaxConns: int = 100
     Engine: WireEngine | None = None
+    Scaling: WireScaling | None = None
 
     def decode(self) -> ServiceSpec:
         """Return the service as the internal type."""
@@ -105,7 +142,8 @@
                 tokens_per_event=self.Engine.Stride,
                 models=tuple(model.Name for model in self.Engine.Models),
             )
-        return ServiceSpec(self.Name, self.MaxConns, engine)
+        scaling = self.Scaling.decode() if self.Scaling is not None else None
+        return ServiceSpec(self.Name, self.MaxConns, engine, scaling)
 
 
 class WireLimits(msgspec.Struct, frozen=True):
@@ -122,10 +160,15 @@
     Routes: list[WireRoute]
     Services: list[WireService] = []
     Limits: WireLimits = WireLimits()
+    Tenants: list[WireTenant] = []
 
 
 class WireServer(msgspec.Struct):
-    """Row that a backend server writes; `Version` is the version of its software."""
+    """Row that a backend server writes.
+
+    `Version` is the version of its software. `UseSpot` says that the platform may
+    reclaim it, and `leaves_ms` is the remaining time of one that leaves.
+    """
 
     Service: str
     Address: str
@@ -136,6 +179,8 @@
     ColdRemainingMs: float = 0
     Models: list["WireModelVersion"] = []
     born: int | None = None
+    UseSpot: bool = False
+    leaves_ms: float | None = None
 
 
 class WireModelVersion(msgspec.Struct):
@@ -152,15 +197,44 @@
     Version: int
 
 
+def decode_customers(
+    tenants: list[WireTenant],
+) -> tuple[dict[str, Customer], dict[str, Customer]]:
+    """Return the customers by name and by key.
+
+    Raises
+    ------
+    msgspec.ValidationError
+        If two customers have the same name or key. The text contains no key.
+    """
+    by_name: dict[str, Customer] = {}
+    by_key: dict[str, Customer] = {}
+    for tenant in tenants:
+        customer = Customer(tenant.Name, tenant.Priority)
+        if tenant.Name in by_name:
+            raise msgspec.ValidationError(f"customer {tenant.Name!r} stands twice")
+        by_name[tenant.Name] = customer
+        for key in tenant.ApiKeys:
+            owner = by_key.setdefault(key, customer)
+            if owner is not customer:
+                raise msgspec.ValidationError(
+                    f"customers {owner.name!r} and {customer.name!r} have the same key"
+                )
+    return by_name, by_key
+
+
 def decode_configuration(value: bytes) -> Configuration:
     """Return a configuration; raise `msgspec.MsgspecError` if it is malformed."""
     wire = msgspec.json.decode(value, type=WireConfiguration)
+    customers, customers_by_key = decode_customers(wire.Tenants)
     services = {service.Name: service.decode() for service in wire.Services}
     return Configuration(
         version=wire.Version,
         routes=tuple(route.decode() for route in wire.Routes),
         services=services,
         max_body_bytes=wire.Limits.MaxBodyBytes,
+        customers=customers,
+        customers_by_key=customers_by_key,
     )
 
 
@@ -184,6 +258,8 @@
         models=tuple(ModelVersion(m.Name, m.Version) for m in wire.Models),
         started_ms=wire.born,
         software_version=wire.Version,
+        reclaimable=wire.UseSpot,
+        leaves_in_ms=wire.leaves_ms,
     )
 
 
--- a/packages/ebonylb/src/ebonylb/routes/model.py
+++ b/packages/ebonylb/src/ebonylb/routes/model.py
@@ -13,6 +13,21 @@
     BATCH = "batch"
 
 
+@dataclass(frozen=True, slots=True)
+class Customer:
+    """A customer whose callers identify themselves with a key.
+
+    Parameters
+    ----------
+    priority : int or None
+        Takes precedence over the priority of the route; 0 is the highest. None for a
+        customer without a priority of its own.
+    """
+
+    name: str
+    priority: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Target:
     """A service and its weight in a route that is split between services."""
@@ -41,6 +56,8 @@
         Whether all events of a result must come from one weight version.
     resumable : bool
         Whether a stream may be resumed on another server.
+    public : bool
+        Whether requests need no key where the configuration has customers.
     """
 
     name: str
@@ -56,6 +73,7 @@
     result_deadline_ms: float = 10_000
     single_version: bool = False
     resumable: bool = False
+    public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,20 +98,67 @@
     models: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ScalingSpec:
+    """Bounds and prices for the number of servers of a service.
+
+    Parameters
+    ----------
+    min_servers, max_servers : int
+        Bounds on the number of servers in each failure domain, reclaimable ones
+        included.
+    boot_ms : float
+        Time from an order until a new server serves.
+    reclaimable_price : float or None
+        Price of a reclaimable server relative to another one in the same failure
+        domain; None if there are no reclaimable servers.
+    domain_prices : dict of str to float
+        Price of a server second by failure domain.
+    """
+
+    min_servers: int
+    max_servers: int
+    boot_ms: float
+    reclaimable_price: float | None = None
+    domain_prices: dict[str, float] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceSpec:
-    """A service; `engine` is set only for model services."""
+    """A service; `engine` is set only for model services.
+
+    Parameters
+    ----------
+    scaling : ScalingSpec or None
+        Set for a service whose number of servers the system chooses.
+    """
 
     name: str
     max_connections: int
     engine: EngineShape | None = None
+    scaling: ScalingSpec | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """All routes and services of one configuration version."""
+    """All routes, services and customers of one configuration version.
+
+    Parameters
+    ----------
+    customers : dict of str to Customer
+        Customers by name; empty where callers need no key.
+    customers_by_key : dict of str to Customer
+        Customer of each key. Keys are secret and appear in no text.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, ServiceSpec] = field(default_factory=dict)
     max_body_bytes: int = 33_554_432
+    customers: dict[str, Customer] = field(default_factory=dict)
+    customers_by_key: dict[str, Customer] = field(default_factory=dict, repr=False)
+
+    @property
+    def has_customers(self) -> bool:
+        """Whether callers have to identify themselves with a key."""
+        return bool(self.customers)
--- a/packages/ebonylb/src/ebonylb/service/site_settings.py
+++ b/packages/ebonylb/src/ebonylb/service/site_settings.py
@@ -24,6 +24,16 @@
         A stored configuration is in force at every entry VM after this.
     stable_window_ms : float
         Time after a fault until an entry VM must keep the limits again.
+    strict_revoke : bool
+        Whether no request may run with a key that was taken away longer than
+        `revoke_ms` ago, also at an entry VM that is cut off from the store.
+    revoke_ms : float
+        Time between the acknowledgement of a configuration and the last request that
+        may run with a key that it takes away.
+    report_window_ms : float
+        Length of the windows of usage reports; 0 if no usage is reported.
+    usage_late_ms : float
+        The usage of a window is due this long after its end.
     """
 
     drain_ms: float = 2_500
@@ -34,6 +44,10 @@
     result_retention_ms: float = 120_000
     config_apply_ms: float = 2_500
     stable_window_ms: float = 4_000
+    strict_revoke: bool = False
+    revoke_ms: float = 5_000
+    report_window_ms: float = 0
+    usage_late_ms: float = 10_000
 
 
 class SiteSettings(msgspec.Struct, frozen=True):
@@ -57,6 +71,13 @@
         Maximum size of a row value in the store.
     bounds : Bounds
         Time limits agreed with the platform.
+    control_plane_address : str
+        ``ip:port`` for usage reports and orders of servers; empty if there are none.
+    duties : tuple of str
+        Duties of the entry VMs towards that address: ``"usage_report"``,
+        ``"autoscale"``.
+    duty_calls_per_s : float
+        Calls a second that it accepts from all entry VMs together.
     """
 
     name: str
@@ -70,3 +91,6 @@
     metrics_address: str = ""
     row_bytes: int = 65_536
     bounds: Bounds = Bounds()
+    control_plane_address: str = ""
+    duties: tuple[str, ...] = ()
+    duty_calls_per_s: float = 50.0
--- a/packages/ebonylb/tests/test_platform_adapter.py
+++ b/packages/ebonylb/tests/test_platform_adapter.py
@@ -20,7 +20,7 @@
 from ebonylb.platform.event_stream import EventDecoder
 from ebonylb.platform.node_settings import read_node_settings
 from ebonylb.platform.servers import decode_load
-from ebonylb.routes import RouteKind
+from ebonylb.routes import Customer, RouteKind, ScalingSpec
 
 SOURCES = Path(ebonylb.__file__).parent
 WIRE_NAMES = re.compile(
@@ -89,6 +89,14 @@
         assert server.version_of("m") == 3
         assert server.started_ms == 17
 
+    def test_reclaimed_server_row_is_decoded(self):
+        """Guards against notices of reclaimed servers that are ignored."""
+        notice = {"UseSpot": True, "State": "draining", "leaves_ms": 1_500}
+        server = row_decoding.decode_server(row(SERVER | notice))
+        assert (server.reclaimable, server.leaves_in_ms) == (True, 1_500)
+        assert server.stage is ServerStage.LEAVING
+        assert not row_decoding.decode_server(row(SERVER)).reclaimable
+
     @pytest.mark.parametrize(
         "malformed",
         [
@@ -158,6 +166,50 @@
         configuration = row_decoding.decode_configuration(json.dumps(wire).encode())
         assert configuration.routes[0].kind is RouteKind.NON_IDEMPOTENT
 
+    def test_customers_and_scaling_are_decoded(self):
+        """Guards against keys of the wrong customer and prices in a wrong unit."""
+        scaling = {"Min": 1, "Max": 8, "BootS": 4.0, "SpotPrice": 0.22}
+        wire = {
+            "Version": 1,
+            "Routes": [
+                {"Name": "r", "Host": "h", "Prefix": "/", "Kind": "x", "Public": True}
+            ],
+            "Services": [
+                {"Name": "lm", "Scaling": scaling | {"ZonePrices": {"north": 1.25}}}
+            ],
+            "Tenants": [
+                {"Name": "a", "ApiKeys": ["k1", "k2"], "Priority": 1},
+                {"Name": "b", "ApiKeys": ["k3"]},
+            ],
+        }
+        decoded = row_decoding.decode_configuration(json.dumps(wire).encode())
+        assert decoded.has_customers
+        assert decoded.customers_by_key["k2"] == Customer("a", 1)
+        assert decoded.customers_by_key["k3"] == Customer("b")
+        assert decoded.routes[0].public
+        assert decoded.services["lm"].scaling == ScalingSpec(
+            1, 8, 4_000, 0.22, {"north": 1.25}
+        )
+        assert "k1" not in repr(decoded)
+
+    @pytest.mark.parametrize(
+        "tenants",
+        [
+            [
+                {"Name": "a", "ApiKeys": ["secret"]},
+                {"Name": "b", "ApiKeys": ["secret"]},
+            ],
+            [{"Name": "a", "ApiKeys": ["secret"]}, {"Name": "a"}],
+        ],
+    )
+    def test_ambiguous_customers_are_rejected_without_naming_the_key(self, tenants):
+        """Guards against requests that run for a customer other than the key's own."""
+        wire = {"Version": 1, "Routes": [], "Tenants": tenants}
+        with pytest.raises(msgspec.ValidationError) as raised:
+            row_decoding.decode_configuration(json.dumps(wire).encode())
+        assert "'a'" in str(raised.value)
+        assert "secret" not in str(raised.value)
+
 
 class TestEvents:
     STREAM = b"".join(
@@ -269,3 +321,28 @@
         path = tmp_path / "node.conf"
         path.write_text(self.LINES + "Bounds.LeaseMs=soon\n")
         assert "Bounds.LeaseMs" in read_node_settings(str(path)).err_value
+
+    def test_revocation_and_duties_are_read(self, tmp_path):
+        """Guards against duties that are not performed and keys honoured too long."""
+        path = tmp_path / "node.conf"
+        path.write_text(
+            self.LINES + "Bounds.StrictRevoke=true\nBounds.RevokeMs=4000\n"
+            "Bounds.ReportWindowS=5\nCloud.Address=10.0.0.8:1\n"
+            "Cloud.Duties=usage_report,autoscale\nCloud.DutyPerS=20.0\n"
+        )
+        settings = read_node_settings(str(path)).ok_value
+        assert settings.bounds.strict_revoke
+        assert settings.bounds.revoke_ms == 4_000
+        assert settings.bounds.report_window_ms == 5_000
+        assert settings.duties == ("usage_report", "autoscale")
+        assert (settings.control_plane_address, settings.duty_calls_per_s) == (
+            "10.0.0.8:1",
+            20.0,
+        )
+
+    @pytest.mark.parametrize("line", ["Bounds.StrictRevoke=often", "Cloud.DutyPerS=x"])
+    def test_malformed_value_is_rejected_with_its_name(self, tmp_path, line):
+        """Guards against a revocation bound that is silently not in force."""
+        path = tmp_path / "node.conf"
+        path.write_text(self.LINES + line + "\n")
+        assert line.partition("=")[0] in read_node_settings(str(path)).err_value
