--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
@@ -26,6 +26,8 @@
 MODELS = ("m", "n")
 ZONES = {"north": "gorge", "south": "gorge", "high": "highland"}
 HOST = "site.example"
+# An entry VM that does not start repeats the same few lines.
+MAX_LOG_LINES_IN_ERRORS = 12
 READY_TIMEOUT_S = 60.0  # a start takes 0.5 s on an idle machine, longer on a busy one
 LOOPBACK_NETWORK = ipaddress.IPv4Address("127.0.0.0")
 PROGRAM = ("-m", "ebonylb.service.site_main")
@@ -193,6 +195,11 @@
             if self.process is not None:
                 await self.process.wait()
 
+    def log_end(self) -> str:
+        """Return the last lines of the log, also those that are not JSON."""
+        text = (self.folder / f"{self.name}.log").read_text(errors="replace")
+        return "\n".join(text.splitlines()[-MAX_LOG_LINES_IN_ERRORS:])
+
     def log_lines(self) -> list[dict[str, Any]]:
         """Return the decoded log lines."""
         text = (self.folder / f"{self.name}.log").read_text()
@@ -323,7 +330,11 @@
                     if response.status == 200:
                         return
             await asyncio.sleep(0.05)
-        raise TimeoutError(f"{vm.name} was not ready after {READY_TIMEOUT_S} s")
+        state = "running" if vm.is_running() else "ended"
+        raise TimeoutError(
+            f"{vm.name} was not ready after {READY_TIMEOUT_S} s; its process is "
+            f"{state}, its log ends with:\n{vm.log_end()}"
+        )
 
     async def call(
         self,
