--- a/packages/ebonylb/src/ebonylb/batches/__init__.py
+++ b/packages/ebonylb/src/ebonylb/batches/__init__.py
@@ -4,6 +4,7 @@
 from .item_run import ItemRunner
 from .lengths import LengthEstimate
 from .model import Batch, BatchHeader, BatchItem, ItemResult, ScoringRequest
+from .move_policy import MovePolicy
 from .ownership import BatchOwnership
 from .placement import ItemPlacement
 from .progress_view import BatchProgressView
@@ -26,6 +27,7 @@
     "ItemRunner",
     "ItemScorer",
     "LengthEstimate",
+    "MovePolicy",
     "ResultsPage",
     "ScoringQueue",
     "ScoringRequest",
--- a/packages/ebonylb/src/ebonylb/batches/item_run.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_run.py
@@ -14,6 +14,7 @@
 from .item_state import ItemState
 from .lengths import LengthEstimate
 from .model import BatchHeader, ItemResult
+from .move_policy import MovePolicy
 from .placement import ItemPlacement, ItemRequirements
 from .scoring import ItemScorer
 from .silence import RunMovedError, RunSilence
@@ -66,6 +67,7 @@
     ) -> None:
         self.lengths = lengths
         self.placement = placement
+        self.move_policy = MovePolicy(placement)
         self.directory = directory
         self.server_client = server_client
         self.clock = clock
@@ -468,6 +470,6 @@
         if state.moves >= MAX_MOVES:
             return False
         need.remaining_events = self.lengths.remaining_events(state, need.service)
-        return self.placement.should_move(
+        return self.move_policy.should_move(
             server, need, len(state.events) >= LONG_RUN_EVENTS
         )
--- a/packages/ebonylb/src/ebonylb/batches/placement.py
+++ b/packages/ebonylb/src/ebonylb/batches/placement.py
@@ -5,7 +5,7 @@
 import itertools
 import logging
 from collections import Counter, OrderedDict
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from ..fleet import ListedServer, ServerDirectory, ServerSelector
 from ..interfaces import Clock
@@ -16,17 +16,8 @@
 # and its runs are moved. A neighbour on the same machine that slows a server 2.5 times
 # for 600 ms raises the average to 1.7, and a full batch of the engine adds a fifth.
 SLOW_FACTOR = 2.2
-# A long run moves from a server disturbed by the first factor to one below the second:
-# a step takes as long as its longest item, and disturbances would add a fifth to it.
-DISTURBED_FACTOR = 1.7
-UNDISTURBED_FACTOR = 1.25
 # An item that needs this share of the time until it is due gets the fastest server.
 LONG_ITEM_SHARE = 0.5
-# Engines of one service differ in speed. A run moves from one that is slower than the
-# median by this factor if it gains more than the minimum, which is several times the
-# cost of a move.
-SLOWER_FACTOR = 1.1
-MIN_MOVE_GAIN_MS = 250.0
 # A server processes the prompt of a group only once when the group's items run there
 # together. Such a server is preferred, unless it is fuller than the emptiest server by
 # this share of its slots. For a long item, the prompt is a small part of the work.
@@ -289,34 +280,3 @@
         duration_ms = need.remaining_events * median_gap_ms
         left_ms = LONG_ITEM_SHARE * (need.due_ms - self.clock.monotonic_ms())
         return min(1.0, duration_ms / left_ms) if left_ms > 0 else 1.0
-
-    def should_move(
-        self, server: ListedServer, need: ItemRequirements, long: bool = False
-    ) -> bool:
-        """Return whether a run would end sooner on another server.
-
-        A long run also moves away from a server that is only temporarily disturbed, or
-        that is steadily slower than another one.
-        """
-        now = self.clock.monotonic_ms()
-        median_gap_ms = self.selector.median_gap_ms(need.service)
-        condition = self.directory.condition(server.name)
-        gap_ms = condition.expected_gap_ms(median_gap_ms, now)
-        slow = gap_ms > SLOW_FACTOR * median_gap_ms
-        disturbed = (
-            long and condition.recent_slowness(median_gap_ms, now) > DISTURBED_FACTOR
-        )
-        slower = gap_ms > SLOWER_FACTOR * median_gap_ms
-        if not slow and not disturbed and not slower:
-            return False
-        other = self.choose(replace(need, avoid=server.name))
-        if other is None:
-            return False
-        other_condition = self.directory.condition(other.name)
-        if slow:
-            return True
-        if other_condition.recent_slowness(median_gap_ms, now) >= UNDISTURBED_FACTOR:
-            return False
-        other_gap_ms = other_condition.expected_gap_ms(median_gap_ms, now)
-        gain_ms = need.remaining_events * (gap_ms - other_gap_ms)
-        return disturbed or gain_ms > MIN_MOVE_GAIN_MS
--- a/packages/ebonylb_standins/src/ebonylb_standins/bench/site_steps.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/bench/site_steps.py
@@ -9,7 +9,7 @@
 import random
 from dataclasses import replace
 
-from ebonylb.batches import Batch
+from ebonylb.batches import Batch, MovePolicy
 from ebonylb.batches.placement import ItemPlacement, ItemRequirements
 from ebonylb.fleet import ListedServer
 from ebonylb.interfaces.server_client import ModelVersion
@@ -66,6 +66,10 @@
             default=None,
         )
 
+
+class NeverMove(MovePolicy):
+    """Baseline: runs are not moved because of their server's speed."""
+
     def should_move(
         self, server: ListedServer, need: ItemRequirements, long: bool = False
     ) -> bool:
@@ -118,9 +122,11 @@
         self.vms = [self.world.start(name) for name in ENTRY_VMS]
         if self.kind == "baseline":
             for vm in self.vms:
-                vm.ownership.runner.placement = FewestOwnRequestsPlacement(
+                placement = FewestOwnRequestsPlacement(
                     vm.directory, vm.placement.selector, self.world.clock
                 )
+                vm.ownership.runner.placement = placement
+                vm.ownership.runner.move_policy = NeverMove(placement)
 
     def draw_lengths(self) -> list[int]:
         """Return log-normal lengths of a step's items in events; a few are long."""
