--- a/packages/ebonylb/src/ebonylb/batches/item_run.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_run.py
@@ -1,43 +1,28 @@
 """Runner of single items: runs and resumes an item on servers until it has a result."""
 
-import asyncio
 import logging
 
 import msgspec
-from result import Err
 
 from ..fleet import ListedServer, ServerDirectory
 from ..interfaces import Clock, Metrics
-from ..interfaces.server_client import ServerClient, ServerRequest, ServerResponse
+from ..interfaces.server_client import ServerClient
 from ..outcomes import StepError
 from ..routes import Route, choose_target
+from .item_attempt import ItemAttempts, ItemFailedError
 from .item_state import ItemState
 from .lengths import LengthEstimate
 from .model import BatchHeader, ItemResult
 from .move_policy import MovePolicy
 from .placement import ItemPlacement, ItemRequirements
 from .scoring import ItemScorer
-from .silence import RunMovedError, RunSilence
+from .silence import RunMovedError
 
 logger = logging.getLogger(__name__)
 
-UNPROCESSABLE = 422
-INTERNAL_ERROR = 500
-REFUSAL_BODY_TIMEOUT_MS = 700.0
-# Minimum time on a server before its speed is judged, and so between two moves.
-MIN_RUN_BEFORE_MOVE_MS = 200.0
-MAX_MOVES = 10
-# A run with this many events is likely to be the last of its step: only a tenth of the
-# items is longer.
-LONG_RUN_EVENTS = 50
-# A server that refuses a model is loading its weights, which takes about one second.
-REFUSAL_PAUSE_MS = 150.0
 RETRY_MS = 50.0
 MAX_RETRY_MS = 1_000.0
 MAX_LOGGED_SERVERS = 6  # in the log line of an item, the last ones
-# Deadline sent to servers. No caller waits for a single item, and closing the
-# connection ends the run earlier.
-RUN_DEADLINE_MS = 60_000.0
 
 
 class ItemRunner:
@@ -67,12 +52,19 @@
     ) -> None:
         self.lengths = lengths
         self.placement = placement
-        self.move_policy = MovePolicy(placement)
         self.directory = directory
-        self.server_client = server_client
         self.clock = clock
         self.metrics = metrics
         self.scorer = scorer
+        self.attempts = ItemAttempts(
+            placement,
+            directory,
+            server_client,
+            clock,
+            metrics,
+            lengths,
+            MovePolicy(placement),
+        )
 
     def requirements_of(
         self, state: ItemState, header: BatchHeader, route: Route, due_ms: float
@@ -275,201 +267,8 @@
         """
         if state.events and server.software_version != state.software_version:
             self.restart(state, "a server of another software version was free first")
-        silence = RunSilence(self.placement, self.directory, self.clock, server, need)
-        async with silence.limit("item.open"):
-            response = await self.open(server, state)
-        silence.record_sign()
-        try:
-            head = response.head
-            condition = self.directory.condition(server.name)
-            if head.load is not None:
-                now = self.clock.monotonic_ms()
-                condition.record_load(head.load, now)
-                median_gap_ms = self.placement.selector.median_gap_ms(need.service)
-                is_slow = condition.apply_reported_slowdown(median_gap_ms, now)
-                if is_slow and self.is_worth_moving(server, state, need):
-                    self.record_move(server, state)
-                    raise RunMovedError
-            if head.not_run:
-                self.record_refusal(server, need, head.wrong_server, head.status)
-                await self.drain_body(server, response)
-                return None
-            if head.status == UNPROCESSABLE:
-                return self.abandon(state, "the server cannot process the item")
-            if head.status == INTERNAL_ERROR:
-                state.failed_attempts += 1
-                condition.update_failure_share(1.0, self.clock.monotonic_ms())
-                if state.failed_attempts >= route.attempts:
-                    return self.abandon(state, "failed at each attempt")
-                return None
-            if head.status != 200:
-                raise StepError("item.status", server.name, f"status {head.status}")
-            self.check_version(server, state, need, head.weight_version, route)
-            async with silence.limit("item.stall"):
-                await self.read_events(
-                    server, state, need, response, head.weight_version, silence
-                )
-            condition.record_success(self.clock.monotonic_ms())
-            return state.result()
-        finally:
-            response.close()
-
-    async def drain_body(self, server: ListedServer, response: ServerResponse) -> None:
-        """Read the body of a refusal, so that its connection can be reused.
-
-        Raises
-        ------
-        StepError
-            If the body ended early or did not arrive in time.
-        """
         try:
-            async with asyncio.timeout(REFUSAL_BODY_TIMEOUT_MS / 1000):
-                await response.body()
-        except TimeoutError as error:
-            raise StepError(
-                "item.refusal", server.name, "body not received within the timeout"
-            ) from error
-
-    async def open(self, server: ListedServer, state: ItemState) -> ServerResponse:
-        """Send the item to a server and return the response after its head arrived.
-
-        The request resumes after the events already received.
-
-        Raises
-        ------
-        StepError
-            If the connection failed.
-        """
-        item = state.item
-        request = ServerRequest(
-            "POST",
-            item.target,
-            item.headers,
-            item.body,
-            item.item_id,
-            RUN_DEADLINE_MS,
-            len(state.events) or None,
-        )
-        opened = await self.server_client.open(server.endpoint, request)
-        if isinstance(opened, Err):
-            raise opened.err_value
-        return opened.ok_value
-
-    def record_refusal(
-        self,
-        server: ListedServer,
-        need: ItemRequirements,
-        wrong_server: bool,
-        status: int,
-    ) -> None:
-        """Record that a server refused an item without running it."""
-        now = self.clock.monotonic_ms()
-        condition = self.directory.condition(server.name)
-        condition.model_refused_until_ms[need.model] = now + REFUSAL_PAUSE_MS
-        if wrong_server:
-            condition.record_failure(now)
-        logger.debug("item refused", extra={"server": server.name, "status": status})
-
-    def check_version(
-        self,
-        server: ListedServer,
-        state: ItemState,
-        need: ItemRequirements,
-        version: int | None,
-        route: Route,
-    ) -> None:
-        """Check that the weight version of a response is allowed for the item.
-
-        Raises
-        ------
-        StepError
-            If the version is older than the minimum, or differs from the version of
-            the received events on a route with a single version.
-        """
-        if version is None:
-            # A run resumed after its last event has no further event with a version.
-            return
-        if need.model:
-            self.directory.condition(server.name).versions[need.model] = version
-        if version < need.min_version:
-            raise StepError(
-                "item.version",
-                server.name,
-                f"weight version {version} is older than the item's minimum",
-            )
-        if route.single_version and state.versions and version != state.versions[0]:
-            state.restart()
-            raise StepError("item.version", server.name, "weight version has changed")
-
-    async def read_events(
-        self,
-        server: ListedServer,
-        state: ItemState,
-        need: ItemRequirements,
-        response: ServerResponse,
-        version: int | None,
-        silence: RunSilence,
-    ) -> None:
-        """Append the events of a run to the item's state until the stream ends.
-
-        Raises
-        ------
-        StepError
-            If the stream breaks, an event is out of order or has no weight version.
-        RunMovedError
-            If the server is too slow and another one would be faster.
-        """
-        condition = self.directory.condition(server.name)
-        started_ms = last_event_ms = self.clock.monotonic_ms()
-        async for event in response.events():
-            now = self.clock.monotonic_ms()
-            if event.number != len(state.events) + 1:
-                raise StepError(
-                    "item.order",
-                    server.name,
-                    f"event {event.number} after {len(state.events)}",
-                )
-            if event.weight_version is not None:
-                version = event.weight_version
-                condition.versions[need.model] = version
-            if need.model and version is None:
-                raise StepError(
-                    "item.version", server.name, "event has no weight version"
-                )
-            state.add_event(event.data, version or 0, server.software_version)
-            need.software_version = state.software_version
-            if silence.has_events:
-                median_gap_ms = self.placement.selector.median_gap_ms(need.service)
-                condition.record_gap(now - last_event_ms, median_gap_ms, now)
-            silence.record_event()
-            last_event_ms = now
-            if now - started_ms > MIN_RUN_BEFORE_MOVE_MS and self.is_worth_moving(
-                server, state, need
-            ):
-                self.record_move(server, state)
-                raise RunMovedError
-
-    def record_move(self, server: ListedServer, state: ItemState) -> None:
-        """Record that a run moves to another server because this one is slow."""
-        state.moves += 1
-        self.metrics.incr("batch.moves")
-        logger.info(
-            "item moved from slow server",
-            extra={
-                "item": state.item.item_id,
-                "server": server.name,
-                "events": len(state.events),
-                "gap_ms": round(self.directory.condition(server.name).gap_ms or 0, 1),
-            },
-        )
-
-    def is_worth_moving(
-        self, server: ListedServer, state: ItemState, need: ItemRequirements
-    ) -> bool:
-        """Return whether the rest of a run should move to another server."""
-        if state.moves >= MAX_MOVES:
-            return False
-        need.remaining_events = self.lengths.remaining_events(state, need.service)
-        return self.move_policy.should_move(
-            server, need, len(state.events) >= LONG_RUN_EVENTS
-        )
+            completed = await self.attempts.run(server, state, need, route)
+        except ItemFailedError as error:
+            return self.abandon(state, str(error))
+        return state.result() if completed else None
--- a/packages/ebonylb_standins/src/ebonylb_standins/bench/site_steps.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/bench/site_steps.py
@@ -126,7 +126,8 @@
                     vm.directory, vm.placement.selector, self.world.clock
                 )
                 vm.ownership.runner.placement = placement
-                vm.ownership.runner.move_policy = NeverMove(placement)
+                vm.ownership.runner.attempts.placement = placement
+                vm.ownership.runner.attempts.move_policy = NeverMove(placement)
 
     def draw_lengths(self) -> list[int]:
         """Return log-normal lengths of a step's items in events; a few are long."""
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/broken.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/broken.py
@@ -9,7 +9,7 @@
 
 from result import Ok
 
-from ebonylb.batches import item_run, repository, rows
+from ebonylb.batches import item_attempt, item_run, repository, rows
 from ebonylb.fleet import directory
 from ebonylb.forwarding import attempt, failover, request_runs, stream_origins
 from ebonylb.limits import shares
@@ -58,7 +58,7 @@
 
 def join_loosely() -> None:
     """Accept events of a resumed stream whatever their position is."""
-    original = item_run.ItemRunner.open
+    original = item_attempt.ItemAttempts.open
 
     async def open_from_start(self, server, state):
         kept, state.events = state.events, []
@@ -67,14 +67,14 @@
         finally:
             state.events = kept
 
-    item_run.ItemRunner.open = open_from_start
+    item_attempt.ItemAttempts.open = open_from_start
 
     async def read_events(self, server, state, need, response, version, silence):
         async for event in response.events():
             silence.record_event()
             state.add_event(event.data, version or 1, server.software_version)
 
-    item_run.ItemRunner.read_events = read_events
+    item_attempt.ItemAttempts.read_events = read_events
 
 
 def score_early() -> None:
