--- a/packages/ebonylb/src/ebonylb/batches/holder.py
+++ b/packages/ebonylb/src/ebonylb/batches/holder.py
@@ -5,14 +5,10 @@
 import logging
 from collections.abc import Callable
 
-from result import Err, Ok
-
 from ..interfaces import Clock, Metrics
-from ..interfaces.row_store import Put
-from ..outcomes import StepError, new_token
 from ..routes import Route
 from ..tasks import cancel_and_wait
-from . import rows
+from .commits import BatchCommits, CommitOutcome
 from .item_run import ItemRunner
 from .item_state import ItemState
 from .model import Batch, ItemResult, Partial, Progress
@@ -28,10 +24,6 @@
 # Interval at which events of unfinished items are stored. The loss of a holder costs
 # the events since the last checkpoint.
 CHECKPOINT_INTERVAL_MS = 720.0
-# A transaction may have 100 entries.
-MAX_RESULTS_PER_COMMIT = 40
-MAX_CHECKPOINTS_PER_COMMIT = 40
-MAX_COMMIT_BYTES = 600_000
 RETRY_MS = 100.0
 # Pause before an item that failed unexpectedly runs again.
 ITEM_RESTART_DELAY_MS = 1_000.0
@@ -73,18 +65,14 @@
         row_bytes: int,
     ) -> None:
         self.batch = batch
-        self.stored = stored
         self.route = route
-        self.repository = repository
         self.runner = runner
         self.clock = clock
         self.metrics = metrics
-        self.report_progress = report_progress
-        self.row_bytes = row_bytes
         self.item_states = {item.item_id: ItemState(item) for item in batch.items}
-        self.results: list[ItemResult] = []
-        self.pending_results: list[ItemResult] = []
-        self.attempted_commits: dict[str, list[ItemResult]] = {}
+        self.commits = BatchCommits(
+            stored, self.item_states, repository, metrics, report_progress, row_bytes
+        )
         self.wake_event = asyncio.Event()
         self.tasks: set[asyncio.Task[None]] = set()
         self.stopping = False
@@ -103,13 +91,18 @@
     @property
     def progress(self) -> Progress:
         """Content of the last stored progress row."""
-        return self.stored.progress
+        return self.commits.progress
+
+    @property
+    def results(self) -> list[ItemResult]:
+        """Stored results in the order of their positions."""
+        return self.commits.results
 
     def restore(
         self, results: tuple[ItemResult, ...], partials: dict[str, Partial]
     ) -> None:
         """Resume from the results and checkpoints that earlier holders have stored."""
-        self.results = list(results)
+        self.commits.results = list(results)
         for result in results:
             self.item_states.pop(result.item_id, None)
         for item_id, partial in partials.items():
@@ -148,7 +141,7 @@
             state.restore_text(result)
             return
         self.item_states.pop(result.item_id)
-        self.pending_results.append(result)
+        self.commits.pending_results.append(result)
 
     def can_use(self, partial: Partial) -> bool:
         """Return whether an item of the batch may begin with stored events."""
@@ -196,7 +189,7 @@
                 self.metrics.incr("batch.item_errors")
                 await self.clock.sleep_ms(ITEM_RESTART_DELAY_MS)
         self.item_states.pop(state.item.item_id, None)
-        self.pending_results.append(result)
+        self.commits.pending_results.append(result)
         self.wake_event.set()
 
     def stop(self) -> None:
@@ -218,11 +211,9 @@
 
         Changes written by this holder itself are ignored.
         """
-        if stored.version <= self.stored.version:
+        if stored.version <= self.commits.stored.version:
             return
-        if stored.progress.token in self.attempted_commits or stored.progress.token == (
-            self.progress.token
-        ):
+        if self.commits.is_own_write(stored.progress.token):
             return
         if stored.progress.closed or not self.has_same_holder(stored.progress):
             self.stop()
@@ -249,19 +240,22 @@
                 last_commit_ms + HEARTBEAT_INTERVAL_MS - self.clock.monotonic_ms()
             ) / 1000
             with contextlib.suppress(TimeoutError):
-                if not self.pending_results and not self.releasing:
+                if not self.commits.pending_results and not self.releasing:
                     async with asyncio.timeout(max(0.0, timeout_s)):
                         await self.wake_event.wait()
             self.wake_event.clear()
             if self.stopping:
                 break
-            if self.pending_results and not self.releasing:
+            if self.commits.pending_results and not self.releasing:
                 await self.clock.sleep_ms(COMMIT_DELAY_MS)
             now = self.clock.monotonic_ms()
             checkpoint_due = (
                 self.releasing or now - last_checkpoint_ms >= CHECKPOINT_INTERVAL_MS
             )
-            committed = await self.commit(with_checkpoints=checkpoint_due)
+            outcome = await self.commits.commit(checkpoint_due, self.releasing)
+            if outcome is CommitOutcome.BATCH_LOST:
+                self.stop()
+            committed = outcome is CommitOutcome.STORED
             if committed and not started:
                 started = True
                 elapsed_ms = round(self.clock.monotonic_ms() - started_ms)
@@ -279,171 +273,4 @@
                 await self.clock.sleep_ms(retry_ms)
                 retry_ms = min(MAX_RETRY_MS, retry_ms * 2)
         if self.progress.closed or not self.releasing:
-            await self.store_unfinished_items()
-
-    async def store_unfinished_items(self) -> None:
-        """Store checkpoints of the unfinished items of a batch that the caller ended.
-
-        The trainer's next batch may contain the same items. If the write fails, only
-        that work is lost.
-        """
-        puts = self.checkpoints()
-        if not puts:
-            return
-        current = await self.repository.progress(self.batch_id)
-        if isinstance(current, Err) or current.ok_value is None:
-            logger.info(
-                "unfinished items of an ended batch not stored",
-                extra={"batch": self.batch_id},
-            )
-            return
-        stored = current.ok_value
-        if not stored.progress.closed:
-            return
-        after = stored.progress.next_state(new_token())
-        result = await self.repository.commit(
-            stored.version, after, [*puts, rows.encode_progress(after)]
-        )
-        if isinstance(result, Ok) and result.ok_value is not None:
-            self.report_progress(result.ok_value)
-
-    def checkpoints(self) -> list[Put]:
-        """Return writes that store new events, for the items with the most first."""
-        puts = []
-        size = 0
-        most_events_first = sorted(
-            self.item_states.items(),
-            key=lambda pair: pair[1].stored_events - len(pair[1].events),
-        )
-        for item_id, state in most_events_first:
-            if not state.has_unstored_text:
-                continue
-            count = len(state.events)
-            put = rows.encode_partial(
-                self.batch_id,
-                item_id,
-                state.stored_events,
-                state.events[state.stored_events : count],
-                state.versions[state.stored_events : count],
-                state.complete,
-                state.software_version,
-            )
-            size += len(put.value)
-            if len(put.value) > self.row_bytes or size > MAX_COMMIT_BYTES:
-                continue
-            puts.append(put)
-            if len(puts) >= MAX_CHECKPOINTS_PER_COMMIT:
-                break
-        return puts
-
-    async def commit(self, with_checkpoints: bool) -> bool:
-        """Store pending results and return whether the commit has taken effect.
-
-        Return False also if that is unknown.
-        """
-        committed_results: list[ItemResult] = []
-        puts: list[Put] = []
-        size = 0
-        position = self.progress.listed
-        for result in self.pending_results[:MAX_RESULTS_PER_COMMIT]:
-            writes = rows.encode_result(
-                self.batch_id, position + len(committed_results), result, self.row_bytes
-            )
-            size += sum(len(put.value) for put in writes)
-            if committed_results and size > MAX_COMMIT_BYTES:
-                break
-            committed_results.append(result)
-            puts.extend(writes)
-        written_states = {}
-        if with_checkpoints:
-            written_states = {
-                item_id: (len(state.events), state.complete)
-                for item_id, state in self.item_states.items()
-            }
-            free_entries = 90 - len(puts)
-            puts.extend(self.checkpoints()[: max(0, free_entries)])
-        listed = position + len(committed_results)
-        after = self.progress.next_state(
-            new_token(),
-            listed=listed,
-            ended=self.progress.closed or listed >= self.batch.header.total,
-            holder="" if self.releasing else self.progress.holder,
-            written_ms=self.repository.store_time.now_ms(),
-        )
-        self.attempted_commits[after.token] = committed_results
-        sent = await self.repository.commit(
-            self.stored.version, after, [*puts, rows.encode_progress(after)]
-        )
-        if isinstance(sent, Ok) and sent.ok_value is not None:
-            self.apply_commit(sent.ok_value)
-            self.mark_events_stored(written_states, puts)
-            return True
-        if isinstance(sent, Err) and not sent.err_value.may_have_run:
-            self.attempted_commits.pop(after.token)
-            return False
-        return await self.resolve_unclear_commit(
-            sent.err_value if isinstance(sent, Err) else None
-        )
-
-    def mark_events_stored(
-        self, written_states: dict[str, tuple[int, bool]], puts: list[Put]
-    ) -> None:
-        """Record which events the last commit has stored.
-
-        `written_states` has for each item the number of events, and whether they were
-        all, when the commit was made.
-        """
-        written = {
-            put.row_key.key.partition("/")[2].rpartition(".")[0]
-            for put in puts
-            if put.row_key.table == rows.PARTIALS_TABLE
-        }
-        for item_id, (count, complete) in written_states.items():
-            state = self.item_states.get(item_id)
-            if state is not None and item_id in written:
-                state.mark_stored(count, complete)
-
-    async def resolve_unclear_commit(self, cause: StepError | None) -> bool:
-        """Read the progress row and return whether an unclear commit has taken effect.
-
-        Stop if the batch has another holder, was ended or was deleted.
-        """
-        current = await self.repository.progress(self.batch_id)
-        if isinstance(current, Err):
-            logger.warning(
-                "commit unclear", extra={"batch": self.batch_id, "cause": str(cause)}
-            )
-            return False
-        stored = current.ok_value
-        if stored is None:
-            self.stop()
-            return False
-        if stored.progress.token in self.attempted_commits:
-            self.apply_commit(stored)
-            return True
-        if stored.version == self.stored.version:
-            return False
-        logger.info(
-            "batch has another holder or ended",
-            extra={
-                "batch": self.batch_id,
-                "holder": stored.progress.holder,
-                "closed": stored.progress.closed,
-            },
-        )
-        self.report_progress(stored)
-        self.stop()
-        return False
-
-    def apply_commit(self, stored: StoredProgress) -> None:
-        """Update results and progress after a commit that has taken effect."""
-        listed = self.attempted_commits.get(stored.progress.token, [])
-        committed_ids = {result.item_id for result in listed}
-        self.results.extend(listed)
-        self.pending_results = [
-            r for r in self.pending_results if r.item_id not in committed_ids
-        ]
-        self.attempted_commits.clear()
-        self.stored = stored
-        self.report_progress(stored)
-        self.metrics.incr("batch.results", len(listed))
+            await self.commits.store_unfinished_items()
