--- a/packages/ebonylb/src/ebonylb/batches/ownership.py
+++ b/packages/ebonylb/src/ebonylb/batches/ownership.py
@@ -1,14 +1,11 @@
-"""Ownership of batches: choice of holders, takeover and release of batches."""
+"""Ownership of batches: those that run here, and the choice of holders."""
 
 import asyncio
 import logging
 from collections.abc import Coroutine
 from typing import Any
 
-from result import Err, Ok
-
 from ..interfaces import Clock, Metrics
-from ..outcomes import new_token
 from ..relay import Standby
 from ..routes import RouteTable
 from ..storage.follower import TableFollower
@@ -21,16 +18,13 @@
 from .progress_view import BatchProgressView, ObservedProgress
 from .repository import BatchRepository, StoredProgress
 from .retention import BatchRetention
-from .takeover_rule import SILENCE_TIMEOUT_MS, TakeoverRule
+from .takeover import BatchTakeover
+from .takeover_rule import SILENCE_TIMEOUT_MS
 
 logger = logging.getLogger(__name__)
 
 WATCH_INTERVAL_MS = 150.0
 DELETE_INTERVAL_MS = 10_000
-# Attempts to write a claim when the outcome of a write is unclear.
-MAX_CLAIM_ATTEMPTS = 3
-# Pause after a failed claim before the batch is considered again.
-RETRY_MS = 80.0
 
 
 class BatchOwnership:
@@ -54,10 +48,10 @@
     ----------
     holders : dict of str to BatchHolder
         Running batches by id.
-    claiming_ids, releasing_ids : set of str
-        Batches that this entry VM is about to run, or has released a moment ago.
-    takeover_rule : TakeoverRule
-        Decides which batches this entry VM takes over.
+    takeover : BatchTakeover
+        Judges other holders and claims their batches.
+    claiming_ids : set of str
+        Batches that this entry VM is about to run.
     """
 
     def __init__(
@@ -89,9 +83,17 @@
         )
         self.output_reuse = StepOutputReuse(progress_view, repository)
         self.holders: dict[str, BatchHolder] = {}
-        self.claiming_ids: set[str] = set()
-        self.releasing_ids: set[str] = set()
-        self.takeover_rule = TakeoverRule(name, incarnation, follower)
+        self.takeover = BatchTakeover(
+            name,
+            incarnation,
+            progress_view,
+            follower,
+            repository,
+            clock,
+            self.output_reuse,
+            self.holders,
+        )
+        self.claiming_ids = self.takeover.claiming_ids
         self.retention = BatchRetention(
             name, progress_view, repository, clock, retention_ms
         )
@@ -112,7 +114,7 @@
 
     def is_held_here(self, progress: Progress) -> bool:
         """Return whether a progress row names this process as holder."""
-        return (progress.holder, progress.incarnation) == (self.name, self.incarnation)
+        return self.takeover.is_held_here(progress)
 
     def start_takeover(
         self, stored: StoredProgress, confirm_first: bool = False
@@ -122,7 +124,7 @@
         If `confirm_first`, the row is read before the claim and must be unchanged.
         """
         batch_id = stored.progress.header.batch_id
-        if self.is_handling(batch_id):
+        if self.takeover.is_handling(batch_id):
             return
         self.claiming_ids.add(batch_id)
         self.spawn(self.take_over(stored, confirm_first))
@@ -145,7 +147,7 @@
         )
         if not self.is_held_here(stored.progress):
             now = self.clock.monotonic_ms()
-            self.takeover_rule.handovers[batch_id] = Handover(stored.version, now)
+            self.takeover.rule.handovers[batch_id] = Handover(stored.version, now)
             return
         holder = self.create_holder(batch, stored)
         if holder is not None:
@@ -226,9 +228,9 @@
                 continue
             now = self.clock.monotonic_ms()
             for observed in list(self.progress_view.by_batch_id.values()):
-                if not self.should_take_over(observed, now):
+                if not self.takeover.should_take_over(observed, now):
                     continue
-                if self.is_held_by_earlier_incarnation(
+                if self.takeover.is_held_by_earlier_incarnation(
                     observed.progress
                 ) and not self.holder_choice.has_capacity(
                     observed, {*self.holders, *self.claiming_ids}
@@ -240,48 +242,10 @@
                 self.last_delete_ms = now
                 self.spawn(self.retention.delete_expired())
 
-    def should_take_over(self, observed: ObservedProgress, now_ms: float) -> bool:
-        """Return whether this entry VM should take a batch over now."""
-        progress = observed.progress
-        batch_id = progress.header.batch_id
-        if progress.ended:
-            self.takeover_rule.forget(batch_id)
-            return False
-        if self.is_handling(batch_id):
-            self.takeover_rule.end_handover(batch_id)
-            return False
-        return self.takeover_rule.is_due(observed, now_ms)
-
-    def is_held_by_earlier_incarnation(self, progress: Progress) -> bool:
-        """Return whether a row names an earlier incarnation of this entry VM."""
-        return progress.holder == self.name and progress.incarnation != self.incarnation
-
-    def is_handling(self, batch_id: str) -> bool:
-        """Return whether this entry VM runs, claims or has just released a batch."""
-        return (
-            batch_id in self.holders
-            or batch_id in self.claiming_ids
-            or batch_id in self.releasing_ids
-        )
-
     def start_release(self, stored: StoredProgress) -> None:
         """Start to release a batch to other entry VMs."""
-        self.releasing_ids.add(stored.progress.header.batch_id)
-        self.spawn(self.release(stored))
-
-    async def release(self, stored: StoredProgress) -> None:
-        """Remove the holder of a batch and give other entry VMs time to claim it."""
-        batch_id = stored.progress.header.batch_id
-        self.releasing_ids.add(batch_id)
-        logger.info(
-            "batch left to others",
-            extra={"batch": batch_id, "in_progress": len(self.holders)},
-        )
-        try:
-            await self.write_release(stored)
-            await self.clock.sleep_ms(SILENCE_TIMEOUT_MS)
-        finally:
-            self.releasing_ids.discard(batch_id)
+        self.takeover.releasing_ids.add(stored.progress.header.batch_id)
+        self.spawn(self.takeover.release(stored))
 
     async def take_over(self, stored: StoredProgress, confirm_first: bool) -> None:
         """Claim a batch and resume it from its stored results and checkpoints."""
@@ -292,121 +256,25 @@
                 return
             if self.leaves_batches or not await self.standby.can_take_duty():
                 if self.is_held_here(stored.progress):
-                    await self.write_release(stored)
-                return
-            started_ms = self.clock.monotonic_ms()
-            if confirm_first and not await self.is_unchanged(stored):
-                await self.clock.sleep_ms(RETRY_MS)
+                    await self.takeover.write_release(stored)
                 return
-            # Claim before reading, since the entry VM that handed the batch over waits
-            # for the claim.
-            claimed = await self.claim(stored)
+            claimed = await self.takeover.claim_content(stored, confirm_first)
             if claimed is None:
-                await self.clock.sleep_ms(RETRY_MS)
                 return
-            loaded, previous_hashes = await asyncio.gather(
-                self.repository.content(batch_id),
-                self.output_reuse.previous_step_hashes(stored.progress.header),
-            )
-            if isinstance(loaded, Err):
-                logger.warning(
-                    "batch content not read",
-                    extra={"batch": batch_id, "cause": str(loaded.err_value)},
-                )
-                # Another entry VM may have a faster link to the store.
-                await self.release(claimed)
-                return
-            content = loaded.ok_value
-            logger.info(
-                "batch taken over",
-                extra={
-                    "batch": batch_id,
-                    "from": stored.progress.holder,
-                    "listed": len(content.results),
-                    "partials": len(content.partials),
-                    "elapsed_ms": round(self.clock.monotonic_ms() - started_ms),
-                },
-            )
+            content = claimed.content
             holder = self.create_holder(
-                Batch(stored.progress.header, content.items), claimed
+                Batch(stored.progress.header, content.items), claimed.stored
             )
             if holder is None:
                 return
             holder.restore(content.results, content.partials)
             self.holders[batch_id] = holder
             if not content.results and not content.partials:
-                await self.output_reuse.reuse(holder, previous_hashes)
+                await self.output_reuse.reuse(holder, claimed.previous_hashes)
         finally:
             self.claiming_ids.discard(batch_id)
         await self.run_holder(holder)
 
-    async def is_unchanged(self, stored: StoredProgress) -> bool:
-        """Return whether the store responds and the row has the observed version.
-
-        A store that has just become silent looks like a silent holder. A claim sent
-        then may take effect when the store returns, while the holder still runs the
-        batch.
-        """
-        read = await self.repository.progress(stored.progress.header.batch_id)
-        if isinstance(read, Err):
-            batch_id = stored.progress.header.batch_id
-            now = self.clock.monotonic_ms()
-            self.takeover_rule.unconfirmed_ms[batch_id] = now
-            logger.info(
-                "holder's silence not confirmed",
-                extra={
-                    "batch": batch_id,
-                    "holder": stored.progress.holder,
-                    "cause": str(read.err_value),
-                },
-            )
-            return False
-        current = read.ok_value
-        return current is not None and current.version == stored.version
-
-    async def claim(self, stored: StoredProgress) -> StoredProgress | None:
-        """Write a claim and return the stored progress, or None if it failed.
-
-        After an unclear response, the row is read to see whether the claim has taken
-        effect.
-        """
-        batch_id = stored.progress.header.batch_id
-        for _ in range(MAX_CLAIM_ATTEMPTS):
-            after = stored.progress.next_state(
-                new_token(),
-                holder=self.name,
-                incarnation=self.incarnation,
-                written_ms=self.repository.store_time.now_ms(),
-            )
-            sent = await self.repository.replace(stored.version, after)
-            claimed = sent.ok_value if isinstance(sent, Ok) else None
-            if isinstance(sent, Err):
-                logger.info(
-                    "batch claim unclear",
-                    extra={"batch": batch_id, "cause": str(sent.err_value)},
-                )
-                read = await self.repository.progress(batch_id)
-                current = read.ok_value if isinstance(read, Ok) else None
-                if current is None:
-                    return None
-                if current.version == stored.version:
-                    continue
-                claimed = current if current.progress.token == after.token else None
-            if claimed is not None:
-                self.progress_view.record(claimed)
-            return claimed
-        return None
-
-    async def write_release(self, stored: StoredProgress) -> None:
-        """Write that a batch has no holder, so that others can claim it at once."""
-        after = stored.progress.next_state(new_token(), holder="")
-        result = await self.repository.replace(stored.version, after)
-        if isinstance(result, Err):
-            logger.info(
-                "release of batch not confirmed",
-                extra={"batch": stored.progress.header.batch_id},
-            )
-
     @property
     def leaves_batches(self) -> bool:
         """Whether other entry VMs run the batches, and this one takes none."""
