--- a/packages/ebonylb/src/ebonylb/batches/model.py
+++ b/packages/ebonylb/src/ebonylb/batches/model.py
@@ -84,6 +84,9 @@
         Number of items.
     submitted_unix_ms : int
         Time of the submission.
+    customer : str
+        Name of the customer whose key submitted it; empty for a batch that was
+        submitted without a key.
     """
 
     batch_id: str
@@ -94,6 +97,7 @@
     step: int = -1
     min_version: int = 0
     groups_wanted: int = 0
+    customer: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
@@ -105,6 +105,7 @@
             if counts_crashes
             else None,
             spare_slots=spare_slots,
+            priority=self.routes.priority_of(request.customer, route),
         )
 
     async def run(self, state: RequestState) -> CallerResponse | CallerStream:
--- a/packages/ebonylb/src/ebonylb/forwarding/messages.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/messages.py
@@ -25,6 +25,9 @@
     resumes : str
         Id of the caller's request that brought the first event of the stream that it
         takes up; empty for a new stream.
+    customer : str
+        Name of the customer to whom the request belongs; empty where there is none.
+        A scoring request belongs to the customer of its batch.
     """
 
     request_id: str
@@ -38,6 +41,7 @@
     deadline_ms: float | None = None
     resume_after: int | None = None
     resumes: str = ""
+    customer: str = ""
 
     def for_server(
         self, deadline_ms: float, resume_after: int | None = None
--- a/packages/ebonylb/src/ebonylb/forwarding/request_state.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/request_state.py
@@ -46,6 +46,8 @@
         Whether the request may have run in a pool of servers that it has left.
     relayed_for : str
         Entry VM that passed the request on to this one; empty for a caller's request.
+    priority : int
+        Priority of its customer, or of its route; 0 is the highest.
     """
 
     request: CallerRequest
@@ -66,6 +68,7 @@
     failed_connections: int = 0
     may_have_run_before: bool = False
     relayed_for: str = ""
+    priority: int = 0
 
     @property
     def stream_id(self) -> str:
--- a/packages/ebonylb/src/ebonylb/interfaces/relay.py
+++ b/packages/ebonylb/src/ebonylb/interfaces/relay.py
@@ -35,6 +35,9 @@
         Free slots that each server should keep for other requests.
     counts_crashes : bool
         Whether servers that crash while they run the request count against it.
+    customer : str
+        Name of the customer to whom the request belongs; empty where there is none,
+        and from entry VMs of earlier versions of this program.
     """
 
     entry_vm: str
@@ -46,6 +49,7 @@
     software_version: str | None = None
     spare_slots: int = 0
     counts_crashes: bool = True
+    customer: str = ""
 
 
 class RelayClient(ABC):
--- a/packages/ebonylb/src/ebonylb/relay/receiver.py
+++ b/packages/ebonylb/src/ebonylb/relay/receiver.py
@@ -128,6 +128,7 @@
             request.deadline_ms,
             request.resume_after,
             request.stream_id if request.resume_after else "",
+            request.customer,
         )
         fingerprint = request_fingerprint(
             request.method, request.host, request.target, request.body
@@ -141,6 +142,7 @@
             spare_slots=request.spare_slots,
             software_version=request.software_version,
             relayed_for=request.entry_vm,
+            priority=request.route.priority,
         )
 
     def make_answer(self, response: CallerResponse | CallerStream) -> RelayedAnswer:
--- a/packages/ebonylb/src/ebonylb/relay/relay_pool.py
+++ b/packages/ebonylb/src/ebonylb/relay/relay_pool.py
@@ -165,12 +165,15 @@
             entry_vm=self.name,
             host=state.request.host,
             path=state.request.path,
-            route=replace(state.route, attempts=max(1, attempts)),
+            route=replace(
+                state.route, attempts=max(1, attempts), priority=state.priority
+            ),
             service=state.service,
             stream_id=state.stream_id,
             software_version=state.software_version,
             spare_slots=state.spare_slots,
             counts_crashes=state.fingerprint is not None,
+            customer=state.request.customer,
         )
 
     async def send(
--- a/packages/ebonylb/src/ebonylb/routes/table.py
+++ b/packages/ebonylb/src/ebonylb/routes/table.py
@@ -70,6 +70,14 @@
             return None
         return next((r for r in self.configuration.routes if r.name == name), None)
 
+    def priority_of(self, customer_name: str, route: Route) -> int:
+        """Return the priority of a customer's requests to a route."""
+        customers = self.configuration.customers if self.configuration else {}
+        customer = customers.get(customer_name)
+        if customer is None or customer.priority is None:
+            return route.priority
+        return customer.priority
+
 
 def choose_target(route: Route, request_id: str) -> Target:
     """Return the target of a split route for a request.
