--- a/packages/ebonylb/src/ebonylb/interfaces/row_store.py
+++ b/packages/ebonylb/src/ebonylb/interfaces/row_store.py
@@ -6,7 +6,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from result import Result
 
@@ -37,7 +37,8 @@
     row_key : RowKey
         Identity of the row.
     value : bytes
-        Content; empty for a deleted row.
+        Content; empty for a deleted row. It may contain keys of customers and is in no
+        text.
     version : int
         Number of the transaction that wrote the row; increases over the whole store.
     deleted : bool
@@ -45,7 +46,7 @@
     """
 
     row_key: RowKey
-    value: bytes
+    value: bytes = field(repr=False)
     version: int
     deleted: bool = False
 
--- a/packages/ebonylb/src/ebonylb/platform/row_decoding.py
+++ b/packages/ebonylb/src/ebonylb/platform/row_decoding.py
@@ -123,6 +123,10 @@
     ApiKeys: list[str] = []
     Priority: int | None = None
 
+    def __repr__(self) -> str:
+        """Return a text without the keys."""
+        return f"{type(self).__name__}(Name={self.Name!r})"
+
 
 class WireService(msgspec.Struct):
     """Service; only model services have an engine."""
@@ -210,6 +214,10 @@
     by_name: dict[str, Customer] = {}
     by_key: dict[str, Customer] = {}
     for tenant in tenants:
+        if not tenant.Name or not tenant.Name.isprintable():
+            raise msgspec.ValidationError(
+                f"customer name {tenant.Name!r} cannot be sent in a header"
+            )
         customer = Customer(tenant.Name, tenant.Priority)
         if tenant.Name in by_name:
             raise msgspec.ValidationError(f"customer {tenant.Name!r} stands twice")
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -200,6 +200,7 @@
             decode_operator_row,
             components.routes,
             components.order_controller.set_target_version,
+            components.revocation_bound.record_view,
         )
         server_reader = ServerReader(decode_server, components.directory)
         followers = [
@@ -225,7 +226,9 @@
             holder.batch.header.total - holder.progress.listed
             for holder in components.batch_ownership.holders.values()
         )
-        return {
+        bound = components.revocation_bound
+        view_age = {"customers.view_age_ms": bound.age_ms()} if bound.has_view else {}
+        return view_age | {
             "requests.in_progress": self.readiness.in_progress,
             "configuration.version": components.routes.version,
             "batches.held": len(components.batch_ownership.holders),
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -16,6 +16,7 @@
     ScoringQueue,
 )
 from ..batches.rows import PROGRESS_TABLE
+from ..customers import KeyCheck, RevocationBound
 from ..fleet import (
     DepartureNotingClient,
     ReachabilityNotingClient,
@@ -149,6 +150,12 @@
         clock = dependencies.clock
         self.store_time = StoreTime(clock)
         self.routes = RouteTable()
+        self.revocation_bound = RevocationBound(
+            clock, bounds.strict_revoke, bounds.revoke_ms, bounds.config_apply_ms
+        )
+        self.key_check = KeyCheck(
+            self.routes, self.revocation_bound, dependencies.metrics
+        )
         self.directory = ServerDirectory(clock)
         self.reachability = ServerReachability(
             self.directory,
--- a/packages/ebonylb/src/ebonylb/service/table_readers.py
+++ b/packages/ebonylb/src/ebonylb/service/table_readers.py
@@ -27,6 +27,8 @@
         Receives the configurations.
     set_target_version : callable
         Receives the weight versions.
+    record_view : callable
+        Receives the time at which each call began whose rows were applied.
     """
 
     def __init__(
@@ -34,10 +36,12 @@
         decode: RowDecoder,
         routes: RouteTable,
         set_target_version: Callable[[ModelVersion], None],
+        record_view: Callable[[float], None],
     ) -> None:
         self.decode = decode
         self.routes = routes
         self.set_target_version = set_target_version
+        self.record_view = record_view
 
     def replace_rows(self, rows: Sequence[StoredRow]) -> None:
         """Apply all rows of the table."""
@@ -61,6 +65,10 @@
             elif isinstance(decoded, ModelVersion):
                 self.set_target_version(decoded)
 
+    def on_rows_applied(self, began_ms: float) -> None:
+        """Record how recent the view of the configuration is."""
+        self.record_view(began_ms)
+
 
 class ServerReader(TableReader):
     """Updates the directory of backend servers from their rows.
--- a/packages/ebonylb/src/ebonylb/storage/follower.py
+++ b/packages/ebonylb/src/ebonylb/storage/follower.py
@@ -52,6 +52,16 @@
     def change_rows(self, rows: Sequence[StoredRow]) -> None:
         """Apply changed and deleted rows in order."""
 
+    def on_rows_applied(self, began_ms: float) -> None:  # noqa: B027 - optional
+        """React to the end of a change, which contains all earlier writes.
+
+        Parameters
+        ----------
+        began_ms : float
+            Time including suspension at which the call began whose rows were applied.
+            Every write that the store acknowledged before it is among the rows so far.
+        """
+
     def on_store_regained(self) -> None:  # noqa: B027 - most readers ignore it
         """React to the store's recovery after an outage, before its rows follow."""
 
@@ -181,16 +191,20 @@
     async def read_all(self) -> Exception | None:
         """Read the rest of the table and return the failure, if any."""
         if self.table_read is None:
-            self.table_read = TableRead(self.store, self.table, self.partitioned)
+            self.table_read = TableRead(
+                self.store, self.table, self.partitioned, self.clock
+            )
         response = await self.table_read.run()
         if isinstance(response, Err):
             return response.err_value
+        began_ms = self.table_read.began_ms
         self.table_read = None
         self.record_success()
         page = response.ok_value
         self.store_time.record(page.store_ms)
         self.version = page.version
         self.reader.replace_rows(page.rows)
+        self.reader.on_rows_applied(began_ms)
         self.loaded.set()
         return None
 
@@ -199,6 +213,7 @@
         # After a failure, the call does not wait for changes: a recovered store
         # responds at once, and the call to a silent store times out earlier.
         wait_ms = 0 if self.healthy_since_ms is None else self.wait_ms
+        began_ms = self.clock.boot_ms()
         response = await self.store.changes(self.table, self.version, wait_ms)
         if isinstance(response, Err):
             return response.err_value
@@ -208,6 +223,9 @@
         if page.rows:
             self.reader.change_rows(page.rows)
         self.version = max(self.version, page.version)
+        # Further changes that did not fit into the response may be older than the call.
+        if not page.has_more:
+            self.reader.on_rows_applied(began_ms)
         if page.rows:
             await self.clock.sleep_ms(self.pause_ms() * self.busy_factor)
         return None
--- a/packages/ebonylb/src/ebonylb/storage/table_read.py
+++ b/packages/ebonylb/src/ebonylb/storage/table_read.py
@@ -2,6 +2,7 @@
 
 from result import Err, Ok, Result
 
+from ..interfaces import Clock
 from ..interfaces.row_store import Page, RowStore, StoredRow, next_key
 from ..outcomes import StepError
 
@@ -21,19 +22,28 @@
         Name of the table.
     partitioned : bool
         Whether rows may be in other partitions than the unnamed one.
+    clock : Clock
+        Source of time.
 
     Attributes
     ----------
+    began_ms : float
+        Time including suspension at which the call began that returned the first page.
+        The other pages are newer, and may be read much later where calls fail.
     version : int
         Version of the first page. Changes that are made while the other pages are read
         follow in the feed from this version on.
     """
 
-    def __init__(self, store: RowStore, table: str, partitioned: bool) -> None:
+    def __init__(
+        self, store: RowStore, table: str, partitioned: bool, clock: Clock
+    ) -> None:
         self.store = store
         self.table = table
         self.rows: list[StoredRow] = []
+        self.clock = clock
         self.version = 0
+        self.began_ms: float | None = None
         self.store_ms = 0.0
         self.part = ""
         self.start_key = ""
@@ -43,9 +53,12 @@
     async def run(self) -> Result[Page, StepError]:
         """Read the remaining pages; after an error, the next call continues."""
         while True:
+            began_ms = self.clock.boot_ms()
             response = await self.store.read_page(self.table, self.part, self.start_key)
             if isinstance(response, Err):
                 return response
+            if self.began_ms is None:
+                self.began_ms = began_ms
             page = response.ok_value
             self.version = self.version or page.version
             self.store_ms = page.store_ms
--- a/packages/ebonylb/tests/test_border_fuzz.py
+++ b/packages/ebonylb/tests/test_border_fuzz.py
@@ -133,7 +133,9 @@
             ServerReader(decode_server, directory),
             BatchProgressView(clock, StoreTime(clock)),
             OrderLeases(None, clock, "vm", "1", 3_000),
-            OperatorReader(lambda row: 1 / 0 if row is None else None, None, None),
+            OperatorReader(
+                lambda row: 1 / 0 if row is None else None, None, None, None
+            ),
         ]
 
     @given(st.binary(max_size=40) | JSON.map(lambda v: json.dumps(v).encode()))
--- a/packages/ebonylb/tests/test_busy_store.py
+++ b/packages/ebonylb/tests/test_busy_store.py
@@ -220,8 +220,8 @@
             budget = ReadBudget(clock, 1e9, 1e9)
             store = LimitedStore(data, clock, budget)
             reads = [
-                TableRead(store, "servers", False),
-                TableRead(store, "batches", True),
+                TableRead(store, "servers", False, clock),
+                TableRead(store, "batches", True, clock),
             ]
             calls = 0
             original = budget.take
@@ -249,7 +249,7 @@
         async def scenario():
             data, clock = make_data(), LoopClock()
             store = MemoryRowStore(data, clock)
-            read = TableRead(store, "servers", False)
+            read = TableRead(store, "servers", False, clock)
             task = asyncio.create_task(read.run())
             await clock.sleep_ms(6)
             data.put("servers", "i-00000", None)
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_servers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_servers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections import Counter
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from random import Random
 
@@ -10,6 +10,7 @@
 
 EVENT_INTERVAL_S = 0.02
 WEIGHT_LOAD_S = 0.4
+MAX_KEPT_HEADERS = 1_000
 
 
 SCORING_PREFIX = "/score/"
@@ -60,6 +61,8 @@
         Number of runs by request id.
     arrivals : list of (float, str)
         Loop time in seconds and request id of each request.
+    received_headers : deque of dict of str to str
+        Headers of the last requests that arrived, with lower-case names.
     refused_request_ids : set of str
         Requests that were refused without running.
     text_ended_s : dict of str to float
@@ -89,6 +92,9 @@
     versions: dict[str, int] = field(default_factory=dict)
     run_counts: Counter[str] = field(default_factory=Counter)
     arrivals: list[tuple[float, str]] = field(default_factory=list)
+    received_headers: deque[dict[str, str]] = field(
+        default_factory=lambda: deque(maxlen=MAX_KEPT_HEADERS)
+    )
     orders: list[ReceivedOrder] = field(default_factory=list)
     refused_request_ids: set[str] = field(default_factory=set)
     text_ended_s: dict[str, float] = field(default_factory=dict)
@@ -197,6 +203,9 @@
         request_id = request.headers.get("Ebonylb-Request-Id", "")
         headers = {"Ebonylb-Request-Id": request_id, **self.load_headers()}
         body = await request.read()
+        self.received_headers.append(
+            {name.lower(): value for name, value in request.headers.items()}
+        )
         self.arrivals.append((asyncio.get_running_loop().time(), request_id))
         if self.is_for_another_server(request):
             headers["Ebonylb-Not-Executed"] = "1"
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
@@ -21,11 +21,9 @@
 
 from .http_servers import SCORING_PREFIX, UNSCORABLE, HttpServer, scoring_id
 from .http_store import HttpStore
+from .stored_configuration import DESK, ENGINE, HOST, MODELS, configuration
 
-ENGINE, DESK = "lm", "desk"
-MODELS = ("m", "n")
 ZONES = {"north": "gorge", "south": "gorge", "high": "highland"}
-HOST = "site.example"
 READY_TIMEOUT_S = 60.0  # a start takes 0.5 s on an idle machine, longer on a busy one
 LOOPBACK_NETWORK = ipaddress.IPv4Address("127.0.0.0")
 PROGRAM = ("-m", "ebonylb.service.site_main")
@@ -38,59 +36,6 @@
         return probe.getsockname()[1]
 
 
-def configuration(version: int, **batch_fields: Any) -> bytes:
-    """Return the operator's configuration as stored; `batch_fields` override fields."""
-    batch = {
-        "Name": "batch",
-        "Host": HOST,
-        "Prefix": "/batch/",
-        "Kind": "rollout",
-        "Service": ENGINE,
-        "TimeoutMs": 10_000,
-        "TargetLatencyMs": 400,
-        "Attempts": 3,
-        "RetentionS": 40.0,
-        "ResultDeadlineMs": 7_500,
-        "Resumable": True,
-        "Sticky": True,
-    } | batch_fields
-    plain = {"Host": HOST, "Service": DESK, "TimeoutMs": 2_000, "Attempts": 2}
-    stream = plain | {"Service": ENGINE, "TargetLatencyMs": 400, "Attempts": 3}
-    routes = [
-        batch,
-        {
-            "Name": "chat",
-            "Prefix": "/chat/",
-            "Kind": "streaming",
-            **stream,
-            "Resumable": True,
-        },
-        {"Name": "live", "Prefix": "/live/", "Kind": "streaming", **stream},
-        {
-            "Name": "score",
-            "Prefix": SCORING_PREFIX,
-            "Kind": "idempotent",
-            **plain,
-            "TargetLatencyMs": 400,
-            "Attempts": 4,
-        },
-        {"Name": "ask", "Prefix": "/ask/", "Kind": "idempotent", **plain},
-        {"Name": "book", "Prefix": "/book/", "Kind": "non_idempotent", **plain},
-    ]
-    engine = {"Slots": 8, "KvCapacity": 100_000, "Stride": 44}
-    engine["Models"] = [{"Name": name} for name in MODELS]
-    services = [{"Name": ENGINE, "Engine": engine}, {"Name": DESK}]
-    limits = {"MaxBodyBytes": 33_554_432, "IdleTimeoutMs": 15_000}
-    return json.dumps(
-        {
-            "Version": version,
-            "Routes": routes,
-            "Services": services,
-            "Limits": limits,
-        }
-    ).encode()
-
-
 @dataclass
 class EntryVmProcess:
     """One entry VM as a process.
@@ -103,6 +48,8 @@
         Folder of the settings file and the log.
     program : tuple of str
         Arguments of the Python interpreter.
+    settings : tuple of str
+        Further lines of the settings file.
 
     Attributes
     ----------
@@ -118,6 +65,7 @@
     store_address: str
     folder: Path
     program: tuple[str, ...] = PROGRAM
+    settings: tuple[str, ...] = ()
     front_address: str = ""
     ready_address: str = ""
     relay_port: int = 0
@@ -150,6 +98,7 @@
             "Bounds.LeaseMs=3000",
             "Bounds.GraceS=8",
             "Unknown.Field=passed over",
+            *self.settings,
         ]
         path = self.folder / f"{self.name}.conf"
         path.write_text("\n".join(lines) + "\n")
@@ -213,6 +162,10 @@
         Number of the first entry VM's address in 127.0.0.0/8; each further one adds 1.
     program : tuple of str
         Arguments of the Python interpreter for each entry VM.
+    settings : tuple of str
+        Further lines of the settings file of each entry VM.
+    first_configuration : bytes
+        Configuration at the start, as stored.
     """
 
     entry_vms: int = 3
@@ -221,6 +174,8 @@
     seed: int = 0
     first_ip: int = 10
     program: tuple[str, ...] = PROGRAM
+    settings: tuple[str, ...] = ()
+    first_configuration: bytes = field(default_factory=lambda: configuration(1))
     store: HttpStore = field(init=False)
     servers: dict[str, HttpServer] = field(default_factory=dict)
     server_addresses: dict[str, str] = field(default_factory=dict)
@@ -247,7 +202,7 @@
             )
         )
         self.store_address = await self.listen(self.store.build_app())
-        self.store.data.put("op", "config", configuration(1))
+        self.store.data.put("op", "config", self.first_configuration)
         zones = list(ZONES)
         for number in range(self.engines):
             server = HttpServer(f"engine-{number}", ENGINE, MODELS)
@@ -299,7 +254,13 @@
         """Start an entry VM on its own loopback address."""
         ip = str(LOOPBACK_NETWORK + self.first_ip + len(self.vms))
         vm = EntryVmProcess(
-            name, ip, zone, self.store_address_for(name), self.folder, self.program
+            name,
+            ip,
+            zone,
+            self.store_address_for(name),
+            self.folder,
+            self.program,
+            self.settings,
         )
         self.vms[name] = vm
         await vm.start()
