--- a/packages/ebonylb/src/ebonylb/batches/model.py
+++ b/packages/ebonylb/src/ebonylb/batches/model.py
@@ -19,12 +19,15 @@
         Host, and path with query, that select its route.
     body : bytes
         Body of the request.
+    headers : tuple of (str, str)
+        Headers of the request without the host.
     """
 
     request_id: str
     host: str
     target: str
     body: bytes
+    headers: Headers = ()
 
 
 class BatchItem(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/ebonylb/src/ebonylb/batches/scoring.py
+++ b/packages/ebonylb/src/ebonylb/batches/scoring.py
@@ -86,7 +86,7 @@
         assert scoring is not None
         progress = ScoringProgress(self.clock.monotonic_ms())
         retry_ms = RETRY_MS
-        while not await self.try_once(scoring, route, due_ms, progress):
+        while not await self.try_once(scoring, header, route, due_ms, progress):
             if self.clock.monotonic_ms() >= abandon_at_ms:
                 break
             self.metrics.incr("batch.scoring.retries")
@@ -98,6 +98,7 @@
     async def try_once(
         self,
         scoring: ScoringRequest,
+        header: BatchHeader,
         item_route: Route,
         due_ms: float,
         progress: ScoringProgress,
@@ -114,7 +115,7 @@
             now = self.clock.monotonic_ms()
             progress.waited_ms += now - queued_ms
             call = self.forwarder.begin(
-                make_caller_request(scoring, now),
+                make_caller_request(scoring, header.customer, now),
                 scoring_route,
                 SPARE_SLOTS,
                 counts_crashes=False,
@@ -160,17 +161,20 @@
         )
 
 
-def make_caller_request(scoring: ScoringRequest, now_ms: float) -> CallerRequest:
-    """Return a scoring request in the form of a caller's request."""
+def make_caller_request(
+    scoring: ScoringRequest, customer: str, now_ms: float
+) -> CallerRequest:
+    """Return a scoring request in the form of a request of its batch's customer."""
     return CallerRequest(
         request_id=scoring.request_id,
         method="POST",
         host=scoring.host,
         path=scoring.target.partition("?")[0],
         target=scoring.target,
-        headers=(("Host", scoring.host),),
+        headers=(("Host", scoring.host), *scoring.headers),
         body=scoring.body,
         received_ms=now_ms,
+        customer=customer,
     )
 
 
--- a/packages/ebonylb/src/ebonylb/batches/service.py
+++ b/packages/ebonylb/src/ebonylb/batches/service.py
@@ -5,6 +5,7 @@
 
 from result import Err, Ok, Result
 
+from ..customers import EVERY_BATCH, BatchAccess
 from ..interfaces import Clock
 from ..outcomes import Outcome, Refusal, new_token
 from ..routes import RouteTable
@@ -69,14 +70,17 @@
         self.repository = repository
         self.clock = clock
 
-    async def submit(self, batch: Batch) -> Refusal | None:
+    async def submit(
+        self, batch: Batch, access: BatchAccess = EVERY_BATCH
+    ) -> Refusal | None:
         """Store a batch and start it.
 
-        Return None if the batch is accepted or was accepted before, else a refusal.
+        Return None if the batch is accepted or was accepted before, else a refusal. The
+        id of a batch to which the caller has no access is refused.
         """
         batch_id = batch.header.batch_id
         if self.progress_view.get(batch_id) is not None:
-            return None
+            return await self.check_access(batch_id, access)
         route = self.routes.find_by_name(batch.header.route)
         if self.ownership.leaving or route is None:
             return STORE_UNREACHABLE
@@ -94,16 +98,33 @@
         try:
             if isinstance(created, Err):
                 return await self.resolve_unclear_submission(
-                    batch, progress, created.err_value
+                    batch, progress, created.err_value, access
                 )
-            if created.ok_value is not None:
-                self.ownership.start_accepted(batch, created.ok_value)
+            if created.ok_value is None:
+                refusal = await self.check_access(batch_id, access)
+                # The batch exists, whether or not the store has said whose it is.
+                return STORE_UNCLEAR if refusal is STORE_UNREACHABLE else refusal
+            self.ownership.start_accepted(batch, created.ok_value)
         finally:
             self.ownership.claiming_ids.discard(batch_id)
         return None
 
+    async def check_access(self, batch_id: str, access: BatchAccess) -> Refusal | None:
+        """Return None if a caller may use a batch, else a refusal.
+
+        A batch to which the caller has no access does not exist for that caller.
+        """
+        if access.every_batch:
+            return None
+        current = await self.find(batch_id)
+        if isinstance(current, Err):
+            return current.err_value
+        if access.allows(current.ok_value.header.customer):
+            return None
+        return UNKNOWN_BATCH
+
     async def resolve_unclear_submission(
-        self, batch: Batch, progress: Progress, error: Exception
+        self, batch: Batch, progress: Progress, error: Exception, access: BatchAccess
     ) -> Refusal | None:
         """Read the progress row to find out whether a submission was stored.
 
@@ -121,7 +142,9 @@
         if isinstance(current, Ok) and current.ok_value is not None:
             if current.ok_value.progress.token == progress.token:
                 self.ownership.start_accepted(batch, current.ok_value)
-            return None
+                return None
+            owner = current.ok_value.progress.header.customer
+            return None if access.allows(owner) else UNKNOWN_BATCH
         return STORE_UNCLEAR
 
     async def find(self, batch_id: str) -> Result[Progress, Refusal]:
--- a/packages/ebonylb/src/ebonylb/platform/batch_wire.py
+++ b/packages/ebonylb/src/ebonylb/platform/batch_wire.py
@@ -8,6 +8,7 @@
 
 from ..batches import Batch, BatchHeader, BatchItem, ResultsPage, ScoringRequest
 from . import wire_names
+from .identity_headers import customer_headers, replace_identity
 from .numbers import parse_count
 
 
@@ -19,10 +20,11 @@
     Path: str
     Body: str = ""
 
-    def decode(self) -> ScoringRequest:
-        """Return the request as the internal type."""
+    def decode(self, customer: str | None) -> ScoringRequest:
+        """Return the request of a customer as the internal type."""
         body = base64.b64decode(self.Body, validate=True)
-        return ScoringRequest(self.Id, self.Host, self.Path, body)
+        headers = customer_headers(customer)
+        return ScoringRequest(self.Id, self.Host, self.Path, body, headers)
 
 
 class WireItem(msgspec.Struct):
@@ -51,8 +53,8 @@
     TargetGroups: int = 0
 
 
-def decode_item(wire: WireItem, host: str) -> BatchItem:
-    """Return the item of a wire item, with the given host in its headers."""
+def decode_item(wire: WireItem, host: str, customer: str | None = None) -> BatchItem:
+    """Return the item of a wire item, with host and customer in its headers."""
     if not wire.Path.startswith("/"):
         # Appended to an address, it would select another server.
         raise msgspec.ValidationError(f"path {wire.Path!r} does not begin with a slash")
@@ -61,23 +63,35 @@
     return BatchItem(
         item_id=wire.Id,
         target=wire.Path,
-        headers=tuple((str(name), value) for name, value in headers.items()),
+        headers=replace_identity(headers.items(), customer),
         body=base64.b64decode(wire.Body, validate=True),
         model=headers.get(wire_names.MODEL, ""),
         group=wire.Group,
         tokens=wire.Tokens,
         length_hint=parse_count(headers.get(wire_names.LENGTH_HINT)) or 0,
-        scoring=wire.ScorerUrl and wire.ScorerUrl.decode(),
+        scoring=wire.ScorerUrl and wire.ScorerUrl.decode(customer),
     )
 
 
 def decode_batch(
-    body: bytes, batch_id: str, route: str, host: str, now_unix_ms: int
+    body: bytes,
+    batch_id: str,
+    route: str,
+    host: str,
+    now_unix_ms: int,
+    customer: str | None = None,
 ) -> Batch | None:
-    """Return the batch in a request body; None if the body is malformed."""
+    """Return the batch in a request body; None if the body is malformed.
+
+    Parameters
+    ----------
+    customer : str or None
+        Customer of the batch; empty for a caller without a key. None where no
+        customers are configured, so that the items keep their headers.
+    """
     try:
         wire = msgspec.json.decode(body, type=WireBatch)
-        items = tuple(decode_item(item, host) for item in wire.Items)
+        items = tuple(decode_item(item, host, customer) for item in wire.Items)
     except (msgspec.MsgspecError, binascii.Error):
         return None
     if len({item.item_id for item in items}) < len(items):
@@ -91,6 +105,7 @@
         step=wire.Step,
         min_version=wire.MinVersion,
         groups_wanted=wire.TargetGroups,
+        customer=customer or "",
     )
     return Batch(header, items)
 
--- a/packages/ebonylb/src/ebonylb/platform/ingress.py
+++ b/packages/ebonylb/src/ebonylb/platform/ingress.py
@@ -3,24 +3,27 @@
 import asyncio
 import contextlib
 import logging
+from dataclasses import replace
 from typing import Any
 from urllib.parse import unquote
 
 import msgspec
 from aiohttp import web
 from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
-from result import Err
+from result import Err, Ok, Result
 
 from ..batches import BatchService
+from ..customers import BatchAccess, KeyCheck
 from ..forwarding import CallerRequest, CallerResponse, CallerStream, Forwarder
 from ..forwarding.messages import make_refusal
 from ..interfaces import Clock
 from ..outcomes import Outcome, Refusal, StepError
-from ..routes import RouteKind
+from ..routes import Route, RouteKind
 from ..service.readiness import Readiness
 from ..service.uploads import Uploads
 from . import wire_names
 from .batch_wire import decode_batch, encode_results
+from .identity_headers import replace_identity
 from .numbers import parse_count, parse_milliseconds
 
 logger = logging.getLogger(__name__)
@@ -39,7 +42,13 @@
     "this entry VM leaves before the body has arrived; send it to another one",
     RETRY_ELSEWHERE_MS,
 )
-STATUS_BY_REASON = {"no_batch": 404, "malformed": 400, "no_route": 404}
+STATUS_BY_REASON = {
+    "no_batch": 404,
+    "malformed": 400,
+    "no_route": 404,
+    "missing_key": 401,
+    "unknown_key": 401,
+}
 
 
 def make_request(
@@ -85,6 +94,8 @@
         Source of time.
     uploads : Uploads
         Reads request bodies.
+    key_check : KeyCheck
+        Identifies the customers of callers.
     """
 
     def __init__(
@@ -94,12 +105,14 @@
         readiness: Readiness,
         clock: Clock,
         uploads: Uploads,
+        key_check: KeyCheck,
     ) -> None:
         self.forwarder = forwarder
         self.batches = batches
         self.readiness = readiness
         self.clock = clock
         self.uploads = uploads
+        self.key_check = key_check
 
     async def handle_ready(self, request: web.BaseRequest) -> web.StreamResponse:
         """Respond to a readiness check of the load balancer."""
@@ -202,7 +215,7 @@
             host=request.headers.get("Host", ""),
             path=path,
             target=request.raw_path,
-            headers=tuple((str(k), v) for k, v in request.headers.items()),
+            headers=(),
             body=body,
             received_ms=received_ms,
             deadline_ms=parse_milliseconds(request.headers.get(wire_names.DEADLINE)),
@@ -212,6 +225,10 @@
         route = self.forwarder.find_route(message)
         if isinstance(route, CallerResponse):
             return self.build_refusal_response(route.refusal, request_id, route.status)
+        identified = self.identify(request, message, route)
+        if isinstance(identified, Err):
+            return self.build_refusal_response(identified.err_value, request_id)
+        message = identified.ok_value
         if route.kind is RouteKind.BATCH:
             return await self.submit_batch(message, route.name)
         response = await self.forwarder.serve(message, route)
@@ -228,6 +245,21 @@
         web_response.headers["Content-Length"] = str(len(response.body))
         return self.close_if_leaving(web_response)
 
+    def identify(
+        self, request: web.BaseRequest, message: CallerRequest, route: Route
+    ) -> Result[CallerRequest, Refusal]:
+        """Return a request with its customer, and with the headers for servers."""
+        keys = request.headers.getall(wire_names.AUTHORIZATION, ())
+        has_customers = self.key_check.has_customers
+        identity = self.key_check.identify(keys, route)
+        if isinstance(identity, Err):
+            return identity
+        name = identity.ok_value.name if identity.ok_value is not None else ""
+        headers = replace_identity(
+            request.headers.items(), name if has_customers else None
+        )
+        return Ok(replace(message, headers=headers, customer=name))
+
     async def forward_stream(
         self, request: web.BaseRequest, stream: CallerStream
     ) -> web.StreamResponse:
@@ -257,16 +289,19 @@
         """Submit the batch in a request and return the response."""
         if message.method != "POST":
             return web.Response(status=405)
+        has_customers = self.key_check.has_customers
         batch = decode_batch(
             message.body,
             message.request_id,
             route,
             message.host,
             self.clock.wall_ms(),
+            message.customer if has_customers else None,
         )
         if batch is None or not message.request_id:
             return self.build_refusal_response(MALFORMED_BATCH, message.request_id)
-        refusal = await self.batches.submit(batch)
+        access = BatchAccess(message.customer, every_batch=not has_customers)
+        refusal = await self.batches.submit(batch, access)
         if refusal is not None:
             return self.build_refusal_response(refusal, message.request_id)
         return self.close_if_leaving(web.Response(status=202))
@@ -278,6 +313,9 @@
         batch_id = unquote(path.removeprefix(wire_names.BATCH_PATH))
         if not self.readiness.has_configuration():
             return self.refuse_not_ready(batch_id)
+        refusal = await self.check_access(request, batch_id)
+        if refusal is not None:
+            return self.build_refusal_response(refusal, batch_id)
         if request.method == "DELETE":
             refusal = await self.batches.end(batch_id)
             if refusal is not None:
@@ -300,6 +338,18 @@
             )
         )
 
+    async def check_access(
+        self, request: web.BaseRequest, batch_id: str
+    ) -> Refusal | None:
+        """Return None if the caller may use a batch, else the refusal."""
+        keys = request.headers.getall(wire_names.AUTHORIZATION, ())
+        access = self.key_check.identify_batch_caller(keys)
+        if isinstance(access, Err):
+            return access.err_value
+        if access.ok_value.every_batch:
+            return None
+        return await self.batches.check_access(batch_id, access.ok_value)
+
     async def handle_item(
         self, request: web.BaseRequest, path: str
     ) -> web.StreamResponse:
@@ -307,6 +357,9 @@
         batch_id = unquote(path.removeprefix(wire_names.ITEM_PATH))
         if not self.readiness.has_configuration():
             return self.refuse_not_ready(batch_id)
+        refusal = await self.check_access(request, batch_id)
+        if refusal is not None:
+            return self.build_refusal_response(refusal, batch_id)
         item_id = request.query.get("Id", "")
         body = await self.batches.item_body(batch_id, item_id)
         if isinstance(body, Err):
--- a/packages/ebonylb/src/ebonylb/platform/wire_names.py
+++ b/packages/ebonylb/src/ebonylb/platform/wire_names.py
@@ -20,6 +20,10 @@
 # Id of the caller's attempt that brought the first event of the stream it takes up.
 RESUMES = "Resumes"
 RETRY_AFTER = "Retry-After"
+# Carries the key of a customer from callers; never sent to servers.
+AUTHORIZATION = "Authorization"
+# Name of the customer, for servers.
+CUSTOMER = "Ebonylb-Tenant"
 
 READY_PATH = "/api/ready"
 BATCH_PATH = "/api/lots/"
@@ -53,6 +57,8 @@
         "expect",
     }
 )
+# Headers of callers that servers never receive where customers are configured.
+IDENTITY_HEADERS = frozenset(name.lower() for name in (AUTHORIZATION, CUSTOMER))
 # Headers that the adapter sets itself and does not copy from the caller's request.
 ADAPTER_SET_HEADERS = frozenset(
     name.lower() for name in (DEADLINE, EXPECT_INSTANCE, EXPECT_VERSION, LAST_EVENT)
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -249,6 +249,7 @@
             self.readiness,
             self.clock,
             self.uploads,
+            self.components.key_check,
         )
         metrics_handler = MetricsHandler(self.metrics, self.read_gauges)
         self.relay_handler = RelayHandler(self.components.relay_receiver.serve)
--- a/packages/ebonylb/tests/test_border_fuzz.py
+++ b/packages/ebonylb/tests/test_border_fuzz.py
@@ -14,6 +14,7 @@
 from result import Err
 
 from ebonylb.batches.progress_view import BatchProgressView
+from ebonylb.customers import KeyCheck
 from ebonylb.fleet import ServerDirectory
 from ebonylb.forwarding.messages import make_refusal
 from ebonylb.interfaces.row_store import RowKey, StoredRow
@@ -183,6 +184,7 @@
                 Readiness(routes, clock),
                 clock,
                 Uploads(),
+                KeyCheck(routes, None, None),
             )
             ingress.readiness.has_configuration = lambda: True
             server = web.Server(ingress.handle, request_factory=make_request)
--- a/packages/ebonylb/tests/test_relay.py
+++ b/packages/ebonylb/tests/test_relay.py
@@ -510,7 +510,7 @@
             world.port.planned_responses["q"] = PlannedResponse(self.EVENTS)
             stream = await serve(vm, make_request(world, path="/chat/1"))
             assert vm.reachability.in_progress == 1
-            ingress = Ingress(vm.forwarder, vm.batches, None, world.clock, None)
+            ingress = Ingress(vm.forwarder, vm.batches, None, world.clock, None, None)
             with pytest.raises(ConnectionResetError):
                 await ingress.forward_stream(None, stream)
             assert vm.reachability.in_progress == 0
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -1,7 +1,8 @@
 """Entry VMs with all their services on one in-memory store, without a network."""
 
 import asyncio
-from dataclasses import dataclass, field
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
 
 from result import Err
 
@@ -15,9 +16,11 @@
 )
 from ebonylb.fleet import ListedServer, ServerStage
 from ebonylb.fleet.selector import Locality
+from ebonylb.interfaces.row_store import StoredRow
 from ebonylb.interfaces.server_client import ModelVersion
 from ebonylb.routes import (
     Configuration,
+    Customer,
     EngineShape,
     Route,
     RouteKind,
@@ -30,6 +33,9 @@
     SiteDependencies,
 )
 from ebonylb.service.site_settings import Bounds
+from ebonylb.service.table_readers import OperatorReader
+from ebonylb.storage.feed_pause import MIN_FEED_PAUSE_MS
+from ebonylb.storage.follower import TableFollower
 
 from ..histories.virtual_time import LoopClock
 from .cut_path import CutPath
@@ -40,6 +46,7 @@
 
 ENGINE_SERVICE, PLAIN_SERVICE = "lm", "desk"
 MODELS = ("m", "n")
+OPERATOR_TABLE = "op"
 READ_TIMEOUT_MS = 30_000
 REGIONS = {"north": "gorge", "south": "gorge", "high": "highland"}
 
@@ -127,6 +134,22 @@
     )
 
 
+def with_customers(
+    plain: Configuration,
+    keys: dict[Customer, Iterable[str]],
+    public_routes: Iterable[str] = (),
+) -> Configuration:
+    """Return a configuration with customers, their keys, and public routes by name."""
+    return replace(
+        plain,
+        routes=tuple(
+            replace(route, public=route.name in public_routes) for route in plain.routes
+        ),
+        customers={customer.name: customer for customer in keys},
+        customers_by_key={key: c for c, its_keys in keys.items() for key in its_keys},
+    )
+
+
 @dataclass
 class EntryVm:
     """Services of one entry VM; `stop` ends them without an orderly shutdown."""
@@ -159,7 +182,7 @@
                 world.clock,
                 NullMetrics(),
             ),
-            Bounds(lease_ms=world.lease_ms),
+            world.bounds,
             65_536,
         )
         self.routes, self.directory = duties.routes, duties.directory
@@ -172,12 +195,25 @@
         self.standby = duties.standby
         self.relay_receiver = duties.relay_receiver
         self.registry, self.limits = duties.limit_registry, duties.limit_gate
-        self.routes.apply(world.configuration)
-        self.tasks = [
-            asyncio.create_task(run()) for run in duties.background_tasks().values()
-        ]
+        self.key_check = duties.key_check
+        tasks = list(duties.background_tasks().values())
+        if world.configuration.has_customers:
+            tasks.append(self.make_operator_follower(duties).run)
+        else:
+            self.routes.apply(world.configuration)
+        self.tasks = [asyncio.create_task(run()) for run in tasks]
         self.refresh()
 
+    def make_operator_follower(self, duties: SiteComponents) -> TableFollower:
+        """Return the follower of the configurations that the world publishes."""
+        reader = OperatorReader(
+            self.world.decode_operator_row,
+            self.routes,
+            self.orders.set_target_version,
+            duties.revocation_bound.record_view,
+        )
+        return duties.make_follower(OPERATOR_TABLE, reader, MIN_FEED_PAUSE_MS)
+
     def refresh(self) -> None:
         """Update the directory with the servers' current entries."""
         for server in self.world.listed_servers():
@@ -198,9 +234,12 @@
     engines, plain_services : int
         Number of backend servers of each kind.
     site_configuration : Configuration or None
-        Configuration of the entry VMs; None for that of `configuration`.
+        Configuration of the entry VMs; None for that of `configuration`. One with
+        customers is read from the store, like those that `publish` stores later.
     lease_ms : float
         Lease duration of the entry VMs.
+    bounds : dict of str to float or bool
+        Further bounds of the entry VMs.
     """
 
     def __init__(
@@ -209,11 +248,15 @@
         plain_services: int = 2,
         site_configuration: Configuration | None = None,
         lease_ms: float = 3_000,
+        **bounds: float | bool,
     ) -> None:
         self.clock = LoopClock()
         self.data = StoreData()
         self.configuration = site_configuration or configuration()
-        self.lease_ms = lease_ms
+        self.bounds = Bounds(lease_ms=lease_ms, **bounds)
+        self.published: dict[int, Configuration] = {}
+        if self.configuration.has_customers:
+            self.publish(self.configuration)
         self.port = FakeServers(self.clock)
         self.ports: list[RecordedPort] = []
         self.vms: dict[str, EntryVm] = {}
@@ -225,6 +268,16 @@
         for number in range(plain_services):
             self.add_server(f"p{number}", PLAIN_SERVICE, 6, domains[number % 3])
 
+    def publish(self, site_configuration: Configuration) -> None:
+        """Store a configuration as the operator does."""
+        self.configuration = site_configuration
+        self.data.put(OPERATOR_TABLE, "config", b"")
+        self.published[self.data.version] = site_configuration
+
+    def decode_operator_row(self, row: StoredRow) -> Configuration:
+        """Return the configuration that was stored as a row."""
+        return self.published[row.version]
+
     def add_server(self, name: str, service: str, slots: int, domain: str) -> None:
         """Add a backend server; an engine has version 1 of all models."""
         versions = dict.fromkeys(MODELS, 1) if service == ENGINE_SERVICE else {}
