--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -13,6 +13,7 @@
 
 from ..adapters.clock import SystemClock
 from ..adapters.connections import StrictConnector
+from ..adapters.http_server import DiscreetServer
 from ..adapters.memory_metrics import InMemoryMetrics
 from ..adapters.relay_http import HttpRelayClient, RelayHandler
 from ..fleet.selector import Locality
@@ -261,8 +262,9 @@
         ):
             if not address:
                 continue
-            server = web.Server(
+            server = DiscreetServer(
                 handler,
+                self.components.key_check.may_get_keys,
                 request_factory=functools.partial(make_request, max_bytes=max_bytes),
                 handler_cancellation=True,
                 keepalive_timeout=CALLER_KEEPALIVE_S,
