--- a/packages/ebonylb/src/ebonylb/batches/model.py
+++ b/packages/ebonylb/src/ebonylb/batches/model.py
@@ -19,12 +19,15 @@
         Host, and path with query, that select its route.
     body : bytes
         Body of the request.
+    headers : tuple of (str, str)
+        Headers of the request without the host.
     """
 
     request_id: str
     host: str
     target: str
     body: bytes
+    headers: Headers = ()
 
 
 class BatchItem(msgspec.Struct, frozen=True, array_like=True):
@@ -84,6 +87,9 @@
         Number of items.
     submitted_unix_ms : int
         Time of the submission.
+    customer : str
+        Name of the customer whose key submitted it; empty for a batch that was
+        submitted without a key.
     """
 
     batch_id: str
@@ -94,6 +100,7 @@
     step: int = -1
     min_version: int = 0
     groups_wanted: int = 0
+    customer: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -13,6 +13,7 @@
 
 from ..adapters.clock import SystemClock
 from ..adapters.connections import StrictConnector
+from ..adapters.http_server import DiscreetServer
 from ..adapters.memory_metrics import InMemoryMetrics
 from ..adapters.relay_http import HttpRelayClient, RelayHandler
 from ..fleet.selector import Locality
@@ -200,6 +201,7 @@
             decode_operator_row,
             components.routes,
             components.order_controller.set_target_version,
+            components.revocation_bound.record_view,
         )
         server_reader = ServerReader(decode_server, components.directory)
         followers = [
@@ -225,7 +227,9 @@
             holder.batch.header.total - holder.progress.listed
             for holder in components.batch_ownership.holders.values()
         )
-        return {
+        bound = components.revocation_bound
+        view_age = {"customers.view_age_ms": bound.age_ms()} if bound.has_view else {}
+        return view_age | {
             "requests.in_progress": self.readiness.in_progress,
             "configuration.version": components.routes.version,
             "batches.held": len(components.batch_ownership.holders),
@@ -246,6 +250,7 @@
             self.readiness,
             self.clock,
             self.uploads,
+            self.components.key_check,
         )
         metrics_handler = MetricsHandler(self.metrics, self.read_gauges)
         self.relay_handler = RelayHandler(self.components.relay_receiver.serve)
@@ -257,8 +262,9 @@
         ):
             if not address:
                 continue
-            server = web.Server(
+            server = DiscreetServer(
                 handler,
+                self.components.key_check.may_get_keys,
                 request_factory=functools.partial(make_request, max_bytes=max_bytes),
                 handler_cancellation=True,
                 keepalive_timeout=CALLER_KEEPALIVE_S,
