--- a/packages/ebonylb/src/ebonylb/batches/__init__.py
+++ b/packages/ebonylb/src/ebonylb/batches/__init__.py
@@ -1,10 +1,12 @@
 """Batch jobs in the platform's store, run by the entry VM that holds them."""
 
 from .holder import BatchHolder
+from .holder_shares import HolderShares
 from .item_run import ItemRunner
 from .lengths import LengthEstimate
 from .model import Batch, BatchHeader, BatchItem, ItemResult, ScoringRequest
 from .move_policy import MovePolicy
+from .open_batches import OpenBatches
 from .ownership import BatchOwnership
 from .placement import ItemPlacement
 from .progress_view import BatchProgressView
@@ -22,12 +24,14 @@
     "BatchProgressView",
     "BatchRepository",
     "BatchService",
+    "HolderShares",
     "ItemPlacement",
     "ItemResult",
     "ItemRunner",
     "ItemScorer",
     "LengthEstimate",
     "MovePolicy",
+    "OpenBatches",
     "ResultsPage",
     "ScoringQueue",
     "ScoringRequest",
