--- a/packages/ebonylb/src/ebonylb/batches/item_attempt.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_attempt.py
@@ -224,6 +224,7 @@
         now = self.clock.monotonic_ms()
         condition = self.directory.condition(server.name)
         condition.model_refused_until_ms[need.model] = now + REFUSAL_PAUSE_MS
+        condition.record_refusal(now)
         if wrong_server:
             condition.record_failure(now)
         logger.debug("item refused", extra={"server": server.name, "status": status})
--- a/packages/ebonylb/src/ebonylb/batches/placement.py
+++ b/packages/ebonylb/src/ebonylb/batches/placement.py
@@ -5,10 +5,12 @@
 import itertools
 import logging
 from collections import Counter, OrderedDict
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from ..fleet import ListedServer, ServerDirectory, ServerSelector
 from ..interfaces import Clock
+from .holder_shares import NoSlotLimits, SlotLimits
 
 logger = logging.getLogger(__name__)
 
@@ -98,14 +100,22 @@
         Cost of each server.
     clock : Clock
         Source of time.
+    slot_limits : SlotLimits or None
+        Share of this entry VM in the slots of each server; None if it shares them with
+        nobody.
     """
 
     def __init__(
-        self, directory: ServerDirectory, selector: ServerSelector, clock: Clock
+        self,
+        directory: ServerDirectory,
+        selector: ServerSelector,
+        clock: Clock,
+        slot_limits: SlotLimits | None = None,
     ) -> None:
         self.directory = directory
         self.selector = selector
         self.clock = clock
+        self.slot_limits = slot_limits or NoSlotLimits()
         self.waiters: list[Waiter] = []
         self.arrival_numbers = itertools.count()
         self.group_servers: OrderedDict[str, str] = OrderedDict()
@@ -239,31 +249,21 @@
         now = self.clock.monotonic_ms()
         median_gap_ms = self.selector.median_gap_ms(need.service)
         length_share = self.length_share(need, median_gap_ms)
+        limits = self.slot_limits.slots_by_engine(need.service)
+        if forced and limits is not None and self.is_share_unusable(need, limits):
+            limits = None
         best: ListedServer | None = None
         best_cost = float("inf")
         for server in self.directory.ready(need.service):
-            condition = self.directory.condition(server.name)
             if not self.fits(server, need, forced):
                 continue
-            if condition.own_requests >= server.slots:
+            share = None if limits is None else limits.get(server.name, 0)
+            if self.is_full(server, need, share, now, forced):
                 continue
             if not self.selector.limits.can_send(server):
                 continue
-            if not forced:
-                if server.name == need.avoid or condition.is_backing_off(now):
-                    continue
-                if condition.model_refused_until_ms.get(need.model, 0) > now:
-                    continue
-                if condition.load(now) >= server.slots:
-                    continue
-                if condition.slowness(median_gap_ms, now) > SLOW_FACTOR:
-                    continue
-                if (
-                    condition.was_slow(median_gap_ms, SLOW_FACTOR)
-                    and condition.own_requests
-                ):
-                    # A single item probes whether the server has recovered.
-                    continue
+            if not forced and self.is_unfavourable(server, need, median_gap_ms, now):
+                continue
             cost = self.selector.engine_cost(server, median_gap_ms, length_share)
             if need.group and self.group_servers.get(need.group) == server.name:
                 cost -= GROUP_AFFINITY_BONUS * (1 - length_share)
@@ -271,6 +271,68 @@
                 best, best_cost = server, cost
         return best
 
+    def is_full(
+        self,
+        server: ListedServer,
+        need: ItemRequirements,
+        share: int | None,
+        now_ms: float,
+        forced: bool,
+    ) -> bool:
+        """Return whether a server has no slot for another item of this entry VM.
+
+        Where shares are in force, what a report or refusal says of others matters only
+        if they exceed their shares, as plain callers do, or holders whose shares have
+        shrunk while long outputs run. An item that has waited long ignores it only
+        elsewhere: with shares, its turn comes.
+
+        Parameters
+        ----------
+        share : int or None
+            Slots that this entry VM may use; None if no shares are in force.
+        """
+        condition = self.directory.condition(server.name)
+        if condition.own_requests >= (server.slots if share is None else share):
+            return True
+        if share is None and forced:
+            return False
+        if condition.model_refused_until_ms.get(need.model, 0) > now_ms:
+            return True
+        if share is not None and condition.was_refused(now_ms):
+            return True
+        return condition.load(now_ms) >= server.slots
+
+    def is_share_unusable(
+        self, need: ItemRequirements, limits: Mapping[str, int]
+    ) -> bool:
+        """Return whether this entry VM has shares only on servers that do not fit.
+
+        Elsewhere it may then use as many slots as it has there.
+        """
+        own_requests = 0
+        for server in self.directory.ready(need.service):
+            own_requests += self.directory.condition(server.name).own_requests
+            if limits.get(server.name) and self.fits(server, need, forced=True):
+                return False
+        return own_requests < sum(limits.values())
+
+    def is_unfavourable(
+        self,
+        server: ListedServer,
+        need: ItemRequirements,
+        median_gap_ms: float,
+        now_ms: float,
+    ) -> bool:
+        """Return whether an item should rather wait than go to a server."""
+        condition = self.directory.condition(server.name)
+        if server.name == need.avoid or condition.is_backing_off(now_ms):
+            return True
+        if condition.slowness(median_gap_ms, now_ms) > SLOW_FACTOR:
+            return True
+        # A single item probes whether the server has recovered.
+        was_slow = condition.was_slow(median_gap_ms, SLOW_FACTOR)
+        return was_slow and condition.own_requests > 0
+
     def length_share(self, need: ItemRequirements, median_gap_ms: float) -> float:
         """Return how long an item is relative to the time until it is due.
 
--- a/packages/ebonylb/src/ebonylb/fleet/condition.py
+++ b/packages/ebonylb/src/ebonylb/fleet/condition.py
@@ -28,6 +28,9 @@
 # A server that reports at least this slowdown is slow itself: disturbances by its
 # neighbours slow it down 2.5 times.
 MIN_SLOW_SERVER_SLOWDOWN = 2.6
+# A server that refused an item for lack of slots gets no more items than it ran then
+# for this time. Long outputs of other entry VMs hold their slots for seconds.
+REFUSAL_TTL_MS = 500.0
 # Half-life of the share of failed requests.
 FAILURE_HALF_LIFE_MS = 4_000
 
@@ -66,6 +69,10 @@
     model_refused_until_ms : dict of str to float
         Monotonic time, by model, before which items of the model are not sent to this
         server because it refused one.
+    refused_ms : float
+        Monotonic time at which it last refused an item.
+    own_at_refusal : int
+        Requests of this entry VM in progress there, without the refused one.
     last_sign_ms : float
         Monotonic time of the last head or event of a stream from the server.
     versions : dict of str to int
@@ -86,6 +93,8 @@
     consecutive_failures: int = 0
     backoff_until_ms: float = -1e12
     model_refused_until_ms: dict[str, float] = field(default_factory=dict)
+    refused_ms: float = -1e12
+    own_at_refusal: int = 0
     last_sign_ms: float = -1e12
     versions: dict[str, int] = field(default_factory=dict)
 
@@ -105,6 +114,16 @@
         self.load_reported_ms = now_ms
         self.slowdown = load.slowdown
 
+    def record_refusal(self, now_ms: float) -> None:
+        """Record that the server refused an item, which still counts as in progress."""
+        self.refused_ms = now_ms
+        self.own_at_refusal = max(0, self.own_requests - 1)
+
+    def was_refused(self, now_ms: float) -> bool:
+        """Return whether one more item was refused a moment ago."""
+        recent = now_ms - self.refused_ms < REFUSAL_TTL_MS
+        return recent and self.own_requests >= self.own_at_refusal
+
     def record_gap(self, gap_ms: float, median_gap_ms: float, now_ms: float) -> None:
         """Record the time between two events of a stream.
 
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -236,6 +236,7 @@
             "store.calls": self.store.call_count,
             "store.lost": float(not self.readiness.is_store_current()),
             "logs.dropped": self.log_handler.dropped_count if self.log_handler else 0,
+            **components.holder_shares.gauges(),
         }
 
     async def listen(self) -> None:
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -9,10 +9,12 @@
     BatchProgressView,
     BatchRepository,
     BatchService,
+    HolderShares,
     ItemPlacement,
     ItemRunner,
     ItemScorer,
     LengthEstimate,
+    OpenBatches,
     ScoringQueue,
 )
 from ..batches.rows import PROGRESS_TABLE
@@ -303,7 +305,17 @@
         self.progress_follower = self.make_follower(
             PROGRESS_TABLE, self.progress_view, partitioned=True
         )
-        self.placement = ItemPlacement(self.directory, self.selector, clock)
+        self.holder_shares = HolderShares(
+            self.identity.name,
+            OpenBatches(self.routes, self.progress_view, self.progress_follower, clock),
+            self.directory,
+            clock,
+            self.store_time,
+            metrics,
+        )
+        self.placement = ItemPlacement(
+            self.directory, self.selector, clock, self.holder_shares
+        )
         repository = BatchRepository(dependencies.store, row_bytes, self.store_time)
         self.batch_ownership = BatchOwnership(
             self.identity.name,
