--- a/packages/ebonylb/src/ebonylb/orders/controller.py
+++ b/packages/ebonylb/src/ebonylb/orders/controller.py
@@ -9,9 +9,9 @@
 from ..fleet import ListedServer, ServerDirectory
 from ..interfaces import Clock, Metrics
 from ..interfaces.server_client import ModelVersion, ServerClient, VersionOrder
+from ..leases import claim_delay_ms
 from ..relay import Standby
 from ..routes import RouteTable
-from .claim_delay import claim_delay_ms
 from .leases import OrderLeases, group_of
 from .plan import PlannedLoad, plan_orders
 
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -43,6 +43,8 @@
     ServerAddress,
     ServerClient,
 )
+from ..leases import LeaseTable
+from ..leases.table import TABLE as LEASES_TABLE
 from ..limits import (
     LimitGate,
     LimitNotingClient,
@@ -52,7 +54,6 @@
 )
 from ..limits.shares import TABLE as LIMITS_TABLE
 from ..orders import OrderController, OrderLeases
-from ..orders.leases import TABLE as ORDERS_TABLE
 from ..relay import (
     Announcement,
     EntryVms,
@@ -277,13 +278,14 @@
     def build_orders(self) -> None:
         """Build the controller of weight orders and its leases."""
         dependencies = self.dependencies
-        self.order_leases = OrderLeases(
+        self.leases = LeaseTable(
             dependencies.store,
             dependencies.clock,
             self.identity.name,
             self.identity.incarnation,
             self.bounds.lease_ms,
         )
+        self.order_leases = OrderLeases(self.leases)
         self.order_controller = OrderController(
             self.identity.name,
             self.routes,
@@ -357,7 +359,7 @@
             self.progress_follower,
             self.limit_shares.follower,
             self.announcement.follower,
-            self.make_follower(ORDERS_TABLE, self.order_leases),
+            self.make_follower(LEASES_TABLE, self.leases),
             self.make_follower(STRIKES_TABLE, self.strikes),
         )
         return {
--- a/packages/ebonylb/tests/test_border_fuzz.py
+++ b/packages/ebonylb/tests/test_border_fuzz.py
@@ -17,7 +17,7 @@
 from ebonylb.fleet import ServerDirectory
 from ebonylb.forwarding.messages import make_refusal
 from ebonylb.interfaces.row_store import RowKey, StoredRow
-from ebonylb.orders import OrderLeases
+from ebonylb.leases import LeaseTable
 from ebonylb.outcomes import Outcome, Refusal, StepError
 from ebonylb.platform.batch_wire import decode_batch
 from ebonylb.platform.event_stream import EventDecoder
@@ -132,7 +132,7 @@
         return directory, [
             ServerReader(decode_server, directory),
             BatchProgressView(clock, StoreTime(clock)),
-            OrderLeases(None, clock, "vm", "1", 3_000),
+            LeaseTable(None, clock, "vm", "1", 3_000),
             OperatorReader(lambda row: 1 / 0 if row is None else None, None, None),
         ]
 
--- a/packages/ebonylb/tests/test_follower.py
+++ b/packages/ebonylb/tests/test_follower.py
@@ -6,8 +6,8 @@
 import msgspec
 import pytest
 
-from ebonylb.orders.leases import TABLE as ORDERS_TABLE
-from ebonylb.orders.leases import OrderLease
+from ebonylb.leases import Lease
+from ebonylb.leases.table import TABLE as ORDERS_TABLE
 from ebonylb.storage.feed_pause import MAX_LISTING_PAUSE_MS, feed_pause_ms
 from ebonylb.storage.follower import TableFollower, TableReader
 from ebonylb.storage.store_time import StoreTime
@@ -121,7 +121,7 @@
                 vm.store.changes, call_times_ms, world.clock
             )
             await world.clock.sleep_ms(500)
-            row = msgspec.json.encode(OrderLease("b", "b-1", 1))
+            row = msgspec.json.encode(Lease("b", "b-1", 1))
             call_times_ms.clear()
             for _ in range(500):
                 world.data.put(ORDERS_TABLE, "group-00", row)
--- a/packages/ebonylb/tests/test_orders.py
+++ b/packages/ebonylb/tests/test_orders.py
@@ -6,8 +6,8 @@
 
 from ebonylb.fleet import ListedServer, ServerStage
 from ebonylb.interfaces.server_client import ModelVersion
+from ebonylb.leases.claim_delay import SLOT_MS, claim_delay_ms
 from ebonylb.orders import plan_orders
-from ebonylb.orders.claim_delay import SLOT_MS, claim_delay_ms
 from ebonylb.orders.leases import GROUPS
 from ebonylb.orders.plan import servers_of_model, servers_per_model
 from ebonylb_standins.histories.virtual_time import run_virtual
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/broken.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/broken.py
@@ -12,6 +12,7 @@
 from ebonylb.batches import item_run, repository, rows
 from ebonylb.fleet import directory
 from ebonylb.forwarding import attempt, failover, request_runs, stream_origins
+from ebonylb.leases import table
 from ebonylb.limits import shares
 from ebonylb.orders import leases
 from ebonylb.service.site_main import main
@@ -52,7 +53,7 @@
 
 def order_without_waiting() -> None:
     """Order a server at once, without waiting for the previous holder's lease."""
-    leases.OrderLeases.can_write = lambda self, group: True
+    table.LeaseTable.can_claim = lambda self, subject: True
     leases.OrderLeases.is_holder = lambda self, server: True
 
 
