--- a/packages/ebonylb/src/ebonylb/platform/wire_names.py
+++ b/packages/ebonylb/src/ebonylb/platform/wire_names.py
@@ -20,6 +20,8 @@
 # Id of the caller's attempt that brought the first event of the stream it takes up.
 RESUMES = "Resumes"
 RETRY_AFTER = "Retry-After"
+LEASE_HOLDER = "Ebonylb-Lease-Holder"
+FENCING_TOKEN = "Ebonylb-Fencing-Token"
 
 READY_PATH = "/api/ready"
 BATCH_PATH = "/api/lots/"
@@ -30,6 +32,8 @@
 ROWS_READ_PATH = "/api/rows-get"
 ROWS_FEED_PATH = "/api/rows-feed"
 ROWS_PARTS_PATH = "/api/rows-parts"
+USAGE_PATH = "/usage"
+SCALE_PATH = "/scale"
 
 OPERATOR_TABLE = "op"
 CONFIG_KEY = "config"
