--- a/packages/ebonylb/src/ebonylb/leases/table.py
+++ b/packages/ebonylb/src/ebonylb/leases/table.py
@@ -166,8 +166,22 @@
 
     def time_since_term_ms(self, current: ObservedLease) -> float:
         """Return the time since the end of a holder's term, negative before it."""
-        term_ms = SEND_WINDOW_MS + self.lease_ms + CLOCK_SLACK_MS
-        return self.clock.boot_ms() - current.observed_boot_ms - term_ms
+        return self.clock.boot_ms() - current.observed_boot_ms - self.term_ms
+
+    @property
+    def term_ms(self) -> float:
+        """Time without a change of its row after which a lease has ended."""
+        return SEND_WINDOW_MS + self.lease_ms + CLOCK_SLACK_MS
+
+    def unchanged_for_ms(self, subject: str) -> float:
+        """Return how long the row of a subject has been seen unchanged.
+
+        Infinite for a subject without a holder.
+        """
+        current = self.observed_leases.get(subject)
+        if current is None:
+            return float("inf")
+        return self.clock.boot_ms() - current.observed_boot_ms
 
     def is_holder(self, subject: str) -> bool:
         """Return whether this entry VM is the holder of a subject."""
