--- a/packages/ebonylb/src/ebonylb/forwarding/direct_pool.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/direct_pool.py
@@ -152,7 +152,9 @@
         self, state: RequestState, deadline_ms: float, resume_after: int | None
     ) -> ServerRequest:
         """Return the request to send."""
-        return state.request.for_server(deadline_ms, resume_after)
+        return state.request.for_server(
+            deadline_ms, resume_after, state.usage_customer(resume_after)
+        )
 
     async def send(
         self, server: ListedServer, request: ServerRequest
--- a/packages/ebonylb/src/ebonylb/forwarding/messages.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/messages.py
@@ -25,6 +25,8 @@
     resumes : str
         Id of the caller's request that brought the first event of the stream that it
         takes up; empty for a new stream.
+    customer : str
+        Customer who sent the request; empty without one.
     """
 
     request_id: str
@@ -38,11 +40,21 @@
     deadline_ms: float | None = None
     resume_after: int | None = None
     resumes: str = ""
+    customer: str = ""
 
     def for_server(
-        self, deadline_ms: float, resume_after: int | None = None
+        self,
+        deadline_ms: float,
+        resume_after: int | None = None,
+        usage_customer: str = "",
     ) -> ServerRequest:
-        """Return the request to send to a server."""
+        """Return the request to send to a server.
+
+        Parameters
+        ----------
+        usage_customer : str
+            Customer whose usage includes this sending; empty if it is not counted.
+        """
         return ServerRequest(
             self.method,
             self.target,
@@ -51,6 +63,7 @@
             self.request_id,
             deadline_ms,
             resume_after,
+            customer=usage_customer,
         )
 
 
--- a/packages/ebonylb/src/ebonylb/forwarding/request_state.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/request_state.py
@@ -81,6 +81,22 @@
         connecting = sum(not progress.connected for _, progress in self.unfinished)
         return self.may_have_run_before or self.counted_attempts > connecting
 
+    def usage_customer(self, resume_after: int | None) -> str:
+        """Return the customer whose usage includes the next sending of the request.
+
+        Empty if no server may count it: for a scoring request of a batch, which has no
+        fingerprint, and once a server has begun the request, here or elsewhere.
+
+        Parameters
+        ----------
+        resume_after : int or None
+            Number of the last stream event already received.
+        """
+        continues = (resume_after or 0) > (self.request.resume_after or 0)
+        if self.fingerprint is None or self.may_have_run_before or continues:
+            return ""
+        return self.request.customer
+
     def leave_pool(self) -> None:
         """Begin anew in another pool of servers.
 
--- a/packages/ebonylb/src/ebonylb/interfaces/server_client.py
+++ b/packages/ebonylb/src/ebonylb/interfaces/server_client.py
@@ -76,6 +76,8 @@
         Number of the last stream event already received; None for a new stream.
     progress : SendProgress
         Shows a sender that gives up whether the request may have run.
+    customer : str
+        Customer whose usage includes the request; empty if it is not counted.
     """
 
     method: str
@@ -86,6 +88,7 @@
     deadline_ms: float
     resume_after: int | None = None
     progress: SendProgress = field(default_factory=SendProgress, compare=False)
+    customer: str = field(default="", compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ebonylb/src/ebonylb/limits/shares.py
+++ b/packages/ebonylb/src/ebonylb/limits/shares.py
@@ -2,7 +2,7 @@
 
 import logging
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -59,6 +59,8 @@
         Statements of servers by name.
     charges : dict of str to int
         Orders and reports that were sent to each limited server.
+    clock_offset_ms : float or None
+        Offset between the wall clock and the store's clock; None if it is not told.
     """
 
     incarnation: str
@@ -66,12 +68,23 @@
     demand: dict[str, int]
     limits: dict[str, ToldLimit]
     charges: dict[str, int]
+    clock_offset_ms: float | None = None
 
 
 row_encoder = msgspec.msgpack.Encoder()
 row_decoder = msgspec.msgpack.Decoder(EntryVmRow)
 
 
+def encode_row(row: EntryVmRow) -> bytes:
+    """Return the value of a row, without an offset that is not told.
+
+    It then has the bytes that older builds write; they skip the offset.
+    """
+    if row.clock_offset_ms is None:
+        return row_encoder.encode(msgspec.structs.astuple(row)[:-1])
+    return row_encoder.encode(row)
+
+
 @dataclass(slots=True)
 class StoredVmRow:
     """Row of an entry VM with the version of the write."""
@@ -125,6 +138,8 @@
         Keeps the rows current; set once, since it needs this reader.
     demand_since_ms : dict of str to float
         Monotonic time since which the own row has named a demand, by service.
+    observe_clock_offset : callable
+        Returns the offset of this entry VM's wall clock to tell; None for none.
     """
 
     def __init__(
@@ -147,6 +162,7 @@
         self.follower: TableFollower | None = None
         self.stored: dict[str, StoredVmRow] = {}
         self.demand_since_ms: dict[str, float] = {}
+        self.observe_clock_offset: Callable[[], float | None] = lambda: None
 
     def replace_rows(self, rows: Sequence[StoredRow]) -> None:
         """Record all rows of the table."""
@@ -219,6 +235,14 @@
             if confirmed_ms - stored.row.written_ms <= max_age_ms
         }
 
+    def clock_offsets(self) -> dict[str, float]:
+        """Return the offsets of wall clocks that running entry VMs tell."""
+        return {
+            name: row.clock_offset_ms
+            for name, row in self.fresh_rows(MAX_ROW_AGE_MS).items()
+            if row.clock_offset_ms is not None
+        }
+
     def is_demand_known(self, service: str) -> bool:
         """Return whether the other entry VMs know this one's demand for a service."""
         since_ms = self.demand_since_ms.get(service)
@@ -292,6 +316,7 @@
                 self.sharing.limited_demand(),
                 self.told_limits(),
                 self.sharing.told_charges(),
+                self.observe_clock_offset(),
             )
             if self.is_write_due(row):
                 await self.write(row)
@@ -306,7 +331,7 @@
         own = self.stored.get(self.name)
         sent = await self.store.transact(
             [Condition(key, own.version if own else 0)],
-            [Put(key, row_encoder.encode(row))],
+            [Put(key, encode_row(row))],
         )
         if isinstance(sent, Err):
             logger.debug("limits not told", extra={"cause": str(sent.err_value)})
--- a/packages/ebonylb/src/ebonylb/relay/receiver.py
+++ b/packages/ebonylb/src/ebonylb/relay/receiver.py
@@ -128,6 +128,7 @@
             request.deadline_ms,
             request.resume_after,
             request.stream_id if request.resume_after else "",
+            request.customer,
         )
         fingerprint = request_fingerprint(
             request.method, request.host, request.target, request.body
--- a/packages/ebonylb/src/ebonylb/relay/relay_pool.py
+++ b/packages/ebonylb/src/ebonylb/relay/relay_pool.py
@@ -150,8 +150,11 @@
         """Return the request to pass on.
 
         The first entry VM may use all attempts but one, which is left for the second.
+        Only one of them counts the request for its customer.
         """
         attempts = state.route.attempts - 1 if state.counted_attempts <= 1 else 1
+        is_copy = state.counted_attempts > 1
+        customer = "" if is_copy else state.usage_customer(resume_after)
         if resume_after is None:
             resume_after = state.request.resume_after
         return RelayedRequest(
@@ -171,6 +174,7 @@
             software_version=state.software_version,
             spare_slots=state.spare_slots,
             counts_crashes=state.fingerprint is not None,
+            customer=customer,
         )
 
     async def send(
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/usage/agreed_time.py
@@ -0,0 +1,109 @@
+"""True time on which the entry VMs agree, whatever some of their wall clocks show."""
+
+import logging
+from collections.abc import Callable, Mapping, Sequence
+
+from ..interfaces import Clock
+from ..storage.store_time import StoreTime
+
+logger = logging.getLogger(__name__)
+
+# Larger changes of this entry VM's wall clock against the store's clock are jumps and
+# are ignored; the error of the store's time is some tens of milliseconds.
+MAX_DRIFT_MS = 100.0
+# The offsets of the others change once a minute.
+UPDATE_INTERVAL_MS = 1_000.0
+
+
+def agree_offset(offsets: Sequence[float], preferred: float) -> float:
+    """Return the median; of two middle values that nearer to the preferred one.
+
+    The mean of the two would move by half of the jump of a single wall clock.
+    """
+    ranked = sorted(offsets)
+    middle = (ranked[(len(ranked) - 1) // 2], ranked[len(ranked) // 2])
+    return min(middle, key=lambda offset: abs(offset - preferred))
+
+
+class AgreedTime:
+    """Median over the entry VMs' offsets between wall clock and the store's clock.
+
+    Parameters
+    ----------
+    name : str
+        Name of this entry VM.
+    clock : Clock
+        Wall clock and monotonic clock of this entry VM.
+    store_time : StoreTime
+        Clock of the store, which all entry VMs share.
+    read_offsets : callable
+        Returns the offsets that the entry VMs tell, by name.
+
+    Attributes
+    ----------
+    own_offset_ms : float or None
+        Offset of this entry VM at its start, followed through drift but not jumps.
+    offset_ms : float or None
+        Agreed offset; None before the first response of the store.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        clock: Clock,
+        store_time: StoreTime,
+        read_offsets: Callable[[], Mapping[str, float]],
+    ) -> None:
+        self.name = name
+        self.clock = clock
+        self.store_time = store_time
+        self.read_offsets = read_offsets
+        self.own_offset_ms: float | None = None
+        self.offset_ms: float | None = None
+        self.updated_ms = -1e12
+
+    def observe_offset(self) -> float | None:
+        """Return the offset of this entry VM's wall clock now, to tell the others."""
+        store_ms = self.store_time.now_ms()
+        return self.clock.wall_ms() - store_ms if store_ms else None
+
+    def update(self) -> float | None:
+        """Return the agreed offset, computed at most once in a while."""
+        now = self.clock.monotonic_ms()
+        if now - self.updated_ms < UPDATE_INTERVAL_MS:
+            return self.offset_ms
+        observed_ms = self.observe_offset()
+        if observed_ms is None:
+            return None
+        self.updated_ms = now
+        own_ms = self.own_offset_ms
+        if own_ms is None or abs(observed_ms - own_ms) <= MAX_DRIFT_MS:
+            self.own_offset_ms = own_ms = observed_ms
+        offsets = {**self.read_offsets(), self.name: own_ms}
+        previous_ms = own_ms if self.offset_ms is None else self.offset_ms
+        self.offset_ms = agree_offset(list(offsets.values()), previous_ms)
+        if abs(self.offset_ms - previous_ms) > MAX_DRIFT_MS:
+            logger.info(
+                "agreed time moved",
+                extra={
+                    "by_ms": round(self.offset_ms - previous_ms),
+                    "entry_vms": len(offsets),
+                    "own_error_ms": round(observed_ms - self.offset_ms),
+                },
+            )
+        return self.offset_ms
+
+    def true_ms(self, monotonic_ms: float) -> float:
+        """Return the time since the start of 1970 of a monotonic time.
+
+        Before the first response of the store it is that of the wall clock.
+        """
+        now = self.clock.monotonic_ms()
+        offset_ms = self.update()
+        if offset_ms is None:
+            return self.clock.wall_ms() - now + monotonic_ms
+        return self.store_time.now_ms() + offset_ms - now + monotonic_ms
+
+    def now_ms(self) -> float:
+        """Return the time since the start of 1970."""
+        return self.true_ms(self.clock.monotonic_ms())
