--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -19,6 +19,7 @@
 from ..interfaces.row_store import StoredRow
 from ..outcomes import new_token
 from ..platform import wire_names
+from ..platform.control_plane import HttpControlPlane, trace_lateness
 from ..platform.ingress import (
     MAX_BODY_BYTES,
     MAX_HEADER_BYTES,
@@ -39,15 +40,12 @@
 from ..tasks import cancel_and_wait, run_supervised
 from ..telemetry.bounded_logs import BoundedLineHandler
 from .caller_drain import CallerDrain
+from .duty_components import DutyPlan
 from .metrics_handler import MetricsHandler
 from .readiness import Readiness
 from .reload import SettingsReload
-from .site_components import (
-    BackgroundTask,
-    EntryVmIdentity,
-    SiteComponents,
-    SiteDependencies,
-)
+from .site_components import BackgroundTask, SiteComponents
+from .site_dependencies import EntryVmIdentity, SiteDependencies
 from .site_settings import SiteSettings
 from .table_readers import OperatorReader, ServerReader
 from .uploads import Uploads
@@ -72,6 +70,8 @@
 MAX_RELAYED_BYTES = MAX_BODY_BYTES + 1_048_576
 # For requests still in progress when the servers close; the default of aiohttp is 60 s.
 LAST_REQUESTS_TIMEOUT_S = 0.3
+# For the last writes of usage counts, out of the time left before SIGKILL.
+LAST_WRITES_TIMEOUT_S = 0.5
 
 
 def decode_operator_row(row: StoredRow) -> object | None:
@@ -129,9 +129,11 @@
                 HttpRelayClient(relay_session),
                 self.clock,
                 self.metrics,
+                await self.open_control_plane(),
             ),
             self.settings.bounds,
             self.settings.row_bytes,
+            DutyPlan(self.settings.duties, self.settings.duty_calls_per_s),
         )
         self.readiness = Readiness(self.components.routes, self.clock)
         self.readiness.standby = self.components.standby
@@ -190,6 +192,14 @@
         session._retry_connection = False
         return await self.exit_stack.enter_async_context(session)
 
+    async def open_control_plane(self) -> HttpControlPlane | None:
+        """Return the client of the platform's API; None if no duty needs it."""
+        settings = self.settings
+        if not settings.control_plane_address or not settings.duties:
+            return None
+        session = await self.open_session(trace_lateness(self.clock))
+        return HttpControlPlane(session, settings.control_plane_address, self.clock)
+
     def create_platform_followers(self) -> dict[str, BackgroundTask]:
         """Create the followers of the tables of operators, trainers and servers.
 
@@ -236,6 +246,7 @@
             "store.calls": self.store.call_count,
             "store.lost": float(not self.readiness.is_store_current()),
             "logs.dropped": self.log_handler.dropped_count if self.log_handler else 0,
+            **(components.duties.read_gauges() if components.duties else {}),
         }
 
     async def listen(self) -> None:
@@ -294,6 +305,8 @@
         self.readiness.leaving = True
         self.components.order_controller.leaving = True
         self.components.relay_receiver.leaving = True
+        if self.components.duties is not None:
+            self.components.duties.leave()
         limit_ms = self.settings.bounds.grace_ms - EXIT_MARGIN_MS
         try:
             async with asyncio.timeout(limit_ms / 1000):
@@ -313,6 +326,17 @@
                 "shutdown timed out with requests in progress",
                 extra={"in_progress": self.readiness.in_progress},
             )
+        await self.store_last_counts()
+
+    async def store_last_counts(self) -> None:
+        """Store the usage counts that are left, if any."""
+        if self.components.duties is None:
+            return
+        try:
+            async with asyncio.timeout(LAST_WRITES_TIMEOUT_S):
+                await self.components.duties.finish()
+        except TimeoutError:
+            logger.warning("shutdown timed out with usage counts not stored")
 
     async def close(self) -> None:
         """Stop all tasks and close all connections."""
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -1,7 +1,6 @@
 """Components of an entry VM on the users' platform, without network connections."""
 
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
 from typing import Any
 
 from ..batches import (
@@ -23,9 +22,7 @@
     ServerReachability,
     ServerSelector,
 )
-from ..fleet.selector import Locality
 from ..forwarding import (
-    DirectPool,
     FailoverRuns,
     Forwarder,
     RequestLog,
@@ -34,14 +31,9 @@
 from ..forwarding.stream_origins import StreamOrigins
 from ..forwarding.strikes import TABLE as STRIKES_TABLE
 from ..forwarding.strikes import CrashStrikes
-from ..interfaces import Clock, Metrics
-from ..interfaces.relay import RelayClient
-from ..interfaces.row_store import RowStore
 from ..interfaces.server_client import (
     ResponseHead,
-    ServerActivity,
     ServerAddress,
-    ServerClient,
 )
 from ..leases import LeaseTable
 from ..leases.table import TABLE as LEASES_TABLE
@@ -68,6 +60,9 @@
 from ..storage.feed_pause import MAX_FEED_PAUSE_MS, feed_pause_ms
 from ..storage.follower import TableFollower, TableReader
 from ..storage.store_time import StoreTime
+from ..usage import CountingPool
+from .duty_components import DutyComponents, DutyDependencies, DutyPlan
+from .site_dependencies import EntryVmIdentity, SiteDependencies
 from .site_settings import Bounds
 
 # Entry VMs change seldom, and what they tell is confirmed by each relayed request. With
@@ -78,50 +73,6 @@
 BackgroundTask = Callable[[], Coroutine[Any, Any, None]]
 
 
-@dataclass(frozen=True, slots=True)
-class SiteDependencies:
-    """Interfaces through which the components reach the world outside the process.
-
-    Parameters
-    ----------
-    store : RowStore
-        The platform's store.
-    server_client : ServerClient
-        Backend servers.
-    server_activity : ServerActivity
-        What the connections of `server_client` receive.
-    relay_client : RelayClient
-        Other entry VMs.
-    clock : Clock
-        Source of time.
-    metrics : Metrics
-        Destination of counters, gauges and durations.
-    """
-
-    store: RowStore
-    server_client: ServerClient
-    server_activity: ServerActivity
-    relay_client: RelayClient
-    clock: Clock
-    metrics: Metrics
-
-
-@dataclass(frozen=True, slots=True)
-class EntryVmIdentity:
-    """Name and location of an entry VM, and the random token of this process start.
-
-    Parameters
-    ----------
-    relay_address : str
-        ``ip:port`` for requests of other entry VMs; empty if it accepts none.
-    """
-
-    name: str
-    incarnation: str
-    locality: Locality
-    relay_address: str = ""
-
-
 class SiteComponents:
     """Forwarding, weight orders and batches, and the followers of their tables.
 
@@ -135,6 +86,13 @@
         Time limits agreed with the platform.
     row_bytes : int
         Maximum size of a row value in the store.
+    duty_plan : DutyPlan or None
+        Duties towards the platform; None if there are none.
+
+    Attributes
+    ----------
+    duties : DutyComponents or None
+        None without duties.
     """
 
     def __init__(
@@ -143,6 +101,7 @@
         dependencies: SiteDependencies,
         bounds: Bounds,
         row_bytes: int,
+        duty_plan: DutyPlan | None = None,
     ) -> None:
         self.identity = identity
         self.dependencies = dependencies
@@ -175,6 +134,7 @@
         self.build_forwarder()
         self.build_orders()
         self.build_batches(row_bytes)
+        self.duties = self.build_duties(duty_plan)
 
     def build_limits(self) -> None:
         """Build the gate for limited servers and what it shares with other VMs."""
@@ -203,7 +163,7 @@
         """Build the forwarder of single requests."""
         clock, metrics = self.dependencies.clock, self.dependencies.metrics
         log = RequestLog(self.routes, clock, metrics)
-        direct_pool = DirectPool(
+        direct_pool = self.direct_pool = CountingPool(
             self.directory,
             self.selector,
             self.server_client,
@@ -334,6 +294,32 @@
             self.batch_ownership, self.routes, self.progress_view, repository, clock
         )
 
+    def build_duties(self, plan: DutyPlan | None) -> DutyComponents | None:
+        """Build the duties towards the platform, if there are any."""
+        dependencies = self.dependencies
+        if dependencies.control_plane is None or plan is None or not plan.duties:
+            return None
+        duties = DutyComponents(
+            plan,
+            DutyDependencies(
+                self.identity.name,
+                self.identity.incarnation,
+                dependencies.control_plane,
+                dependencies.store,
+                dependencies.clock,
+                dependencies.metrics,
+                self.store_time,
+                self.leases,
+                self.limit_shares,
+                self.entry_vms,
+                lambda: len(self.directory.servers),
+            ),
+            self.bounds,
+        )
+        if duties.usage is not None:
+            self.direct_pool.usage = duties.usage.counter
+        return duties
+
     def make_follower(
         self,
         table: str,
@@ -372,4 +358,5 @@
             "orders": self.order_controller.run,
             "batches": self.batch_ownership.watch,
             "missing servers": self.directory.drop_missing_periodically,
+            **(self.duties.background_tasks() if self.duties else {}),
         }
--- /dev/null
+++ b/packages/ebonylb/src/ebonylb/service/site_dependencies.py
@@ -0,0 +1,57 @@
+"""What the components of an entry VM on the users' platform are built from."""
+
+from dataclasses import dataclass
+
+from ..fleet.selector import Locality
+from ..interfaces import Clock, Metrics
+from ..interfaces.control_plane import ControlPlane
+from ..interfaces.relay import RelayClient
+from ..interfaces.row_store import RowStore
+from ..interfaces.server_client import ServerActivity, ServerClient
+
+
+@dataclass(frozen=True, slots=True)
+class SiteDependencies:
+    """Interfaces through which the components reach the world outside the process.
+
+    Parameters
+    ----------
+    store : RowStore
+        The platform's store.
+    server_client : ServerClient
+        Backend servers.
+    server_activity : ServerActivity
+        What the connections of `server_client` receive.
+    relay_client : RelayClient
+        Other entry VMs.
+    clock : Clock
+        Source of time.
+    metrics : Metrics
+        Destination of counters, gauges and durations.
+    control_plane : ControlPlane or None
+        The platform's API; None if there are no duties towards it.
+    """
+
+    store: RowStore
+    server_client: ServerClient
+    server_activity: ServerActivity
+    relay_client: RelayClient
+    clock: Clock
+    metrics: Metrics
+    control_plane: ControlPlane | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class EntryVmIdentity:
+    """Name and location of an entry VM, and the random token of this process start.
+
+    Parameters
+    ----------
+    relay_address : str
+        ``ip:port`` for requests of other entry VMs; empty if it accepts none.
+    """
+
+    name: str
+    incarnation: str
+    locality: Locality
+    relay_address: str = ""
