--- a/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
@@ -180,6 +180,8 @@
         Models by request id; other requests are for model ``"m"``.
     report_count : int
         Number of requested server reports.
+    started_at_ms : dict of str to float
+        Time at which a server first started to run each request, by request id.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -188,6 +190,7 @@
         self.planned_responses: dict[str, PlannedResponse] = {}
         self.models: dict[str, str] = {}
         self.report_count = 0
+        self.started_at_ms: dict[str, float] = {}
 
     def add(self, server: FakeServer) -> FakeServer:
         """Add a server and return it."""
@@ -226,6 +229,8 @@
             )
             return Ok(FakeServerResponse(self, target, request, planned, head))
         target.started_request_ids.append(request.request_id)
+        now = self.clock.monotonic_ms()
+        self.started_at_ms.setdefault(request.request_id, now)
         if target.mode == "crashes":
             target.mode = "absent"
             return Err(StepError("open", server.name, "connection reset"))
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -24,14 +24,13 @@
     ServiceSpec,
     Target,
 )
-from ebonylb.service.site_components import (
-    EntryVmIdentity,
-    SiteComponents,
-    SiteDependencies,
-)
+from ebonylb.service.duty_components import DutyPlan
+from ebonylb.service.site_components import SiteComponents
+from ebonylb.service.site_dependencies import EntryVmIdentity, SiteDependencies
 from ebonylb.service.site_settings import Bounds
 
 from ..histories.virtual_time import LoopClock
+from .control_plane import FakeControlPlane, FakeControlPlaneClient
 from .cut_path import CutPath
 from .recorded_port import RecordedPort
 from .relay_path import LocalRelayClient
@@ -41,6 +40,8 @@
 ENGINE_SERVICE, PLAIN_SERVICE = "lm", "desk"
 MODELS = ("m", "n")
 READ_TIMEOUT_MS = 30_000
+REPORT_WINDOW_MS = 5_000.0
+DUTY_CALLS_PER_S = 50.0
 REGIONS = {"north": "gorge", "south": "gorge", "high": "highland"}
 
 
@@ -127,6 +128,29 @@
     )
 
 
+class MachineClock(LoopClock):
+    """Clocks of one machine.
+
+    Attributes
+    ----------
+    wall_error_ms : float
+        How far the wall clock is ahead of true time.
+    suspended_ms : float
+        Time in suspension, during which the monotonic clock stood still.
+    """
+
+    wall_error_ms = 0.0
+    suspended_ms = 0.0
+
+    def wall_ms(self) -> int:
+        """Return the time of the wall clock."""
+        return int(self.monotonic_ms() + self.wall_error_ms)
+
+    def boot_ms(self) -> float:
+        """Return the time that includes suspension."""
+        return self.monotonic_ms() + self.suspended_ms
+
+
 @dataclass
 class EntryVm:
     """Services of one entry VM; `stop` ends them without an orderly shutdown."""
@@ -144,6 +168,8 @@
     def __post_init__(self) -> None:
         """Build the services, start their tasks and list the servers."""
         world = self.world
+        self.clock = MachineClock()
+        self.clock.wall_error_ms = world.wall_errors_ms.get(self.name, 0.0)
         self.port = RecordedPort(world.port, self.name, world.clock)
         world.ports.append(self.port)
         self.path = CutPath(self.port, world.clock)
@@ -156,12 +182,15 @@
                 self.path,
                 self.path.activity,
                 LocalRelayClient(world.vms, world.clock),
-                world.clock,
+                self.clock,
                 NullMetrics(),
+                FakeControlPlaneClient(world.platform, self.name),
             ),
-            Bounds(lease_ms=world.lease_ms),
+            Bounds(lease_ms=world.lease_ms, report_window_ms=REPORT_WINDOW_MS),
             65_536,
+            DutyPlan(world.duties, DUTY_CALLS_PER_S),
         )
+        self.platform_duties = duties.duties
         self.routes, self.directory = duties.routes, duties.directory
         self.forwarder, self.strikes = duties.forwarder, duties.strikes
         self.order_leases, self.orders = duties.order_leases, duties.order_controller
@@ -186,7 +215,9 @@
     def stop(self) -> None:
         """Cancel all tasks at once, as a loss of power does."""
         self.is_stopped = True
-        for task in [*self.tasks, *self.ownership.tasks]:
+        duties = self.platform_duties
+        calls = [s.task for s in duties.runner.states.values()] if duties else []
+        for task in [*self.tasks, *self.ownership.tasks, *filter(None, calls)]:
             task.cancel()
 
 
@@ -201,6 +232,8 @@
         Configuration of the entry VMs; None for that of `configuration`.
     lease_ms : float
         Lease duration of the entry VMs.
+    duties : tuple of str
+        Duties of the entry VMs towards the platform.
     """
 
     def __init__(
@@ -209,11 +242,15 @@
         plain_services: int = 2,
         site_configuration: Configuration | None = None,
         lease_ms: float = 3_000,
+        duties: tuple[str, ...] = (),
     ) -> None:
         self.clock = LoopClock()
         self.data = StoreData()
         self.configuration = site_configuration or configuration()
         self.lease_ms = lease_ms
+        self.duties = duties
+        self.platform = FakeControlPlane(self.clock)
+        self.wall_errors_ms: dict[str, float] = {}
         self.port = FakeServers(self.clock)
         self.ports: list[RecordedPort] = []
         self.vms: dict[str, EntryVm] = {}
