--- a/packages/ebonylb_standins/src/ebonylb_standins/site/control_plane.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/control_plane.py
@@ -1,5 +1,6 @@
 """Stand-in for the platform's API for usage reports and orders of servers."""
 
+import asyncio
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -60,6 +61,8 @@
         Duration of a call.
     cut_off : set of str
         Entry VMs whose calls do not arrive.
+    called : asyncio.Event
+        Set, and replaced, when a call has arrived.
     """
 
     clock: Clock
@@ -69,6 +72,7 @@
     lost_answers: int = 0
     delay_ms: float = 4.0
     cut_off: set[str] = field(default_factory=set)
+    called: asyncio.Event = field(default_factory=asyncio.Event)
 
     def reports(self) -> dict[int, dict[str, int]]:
         """Return the counts of the windows in the order of their first reports."""
@@ -86,6 +90,8 @@
             await self.clock.sleep_ms(CALL_TIMEOUT_MS)
             return Err(StepError("platform", "memory", "no connection", False))
         self.calls.append(call)
+        self.called.set()
+        self.called = asyncio.Event()
         if self.lost_answers or self.delay_ms >= CALL_TIMEOUT_MS:
             self.lost_answers = max(0, self.lost_answers - 1)
             await self.clock.sleep_ms(CALL_TIMEOUT_MS)
