--- a/packages/ebonylb/src/ebonylb/forwarding/messages.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/messages.py
@@ -44,9 +44,18 @@
     customer: str = ""
 
     def for_server(
-        self, deadline_ms: float, resume_after: int | None = None
+        self,
+        deadline_ms: float,
+        resume_after: int | None = None,
+        usage_customer: str = "",
     ) -> ServerRequest:
-        """Return the request to send to a server."""
+        """Return the request to send to a server.
+
+        Parameters
+        ----------
+        usage_customer : str
+            Customer whose usage includes this sending; empty if it is not counted.
+        """
         return ServerRequest(
             self.method,
             self.target,
@@ -55,6 +64,7 @@
             self.request_id,
             deadline_ms,
             resume_after,
+            customer=usage_customer,
         )
 
 
--- a/packages/ebonylb/src/ebonylb/platform/wire_names.py
+++ b/packages/ebonylb/src/ebonylb/platform/wire_names.py
@@ -24,6 +24,8 @@
 AUTHORIZATION = "Authorization"
 # Name of the customer, for servers.
 CUSTOMER = "Ebonylb-Tenant"
+LEASE_HOLDER = "Ebonylb-Lease-Holder"
+FENCING_TOKEN = "Ebonylb-Fencing-Token"
 
 READY_PATH = "/api/ready"
 BATCH_PATH = "/api/lots/"
@@ -34,6 +36,8 @@
 ROWS_READ_PATH = "/api/rows-get"
 ROWS_FEED_PATH = "/api/rows-feed"
 ROWS_PARTS_PATH = "/api/rows-parts"
+USAGE_PATH = "/usage"
+SCALE_PATH = "/scale"
 
 OPERATOR_TABLE = "op"
 CONFIG_KEY = "config"
