--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -132,6 +132,7 @@
             ),
             self.settings.bounds,
             self.settings.row_bytes,
+            self.settings.duties if self.settings.control_plane_address else (),
         )
         self.readiness = Readiness(self.components.routes, self.clock)
         self.readiness.standby = self.components.standby
@@ -211,6 +212,8 @@
             ),
         ]
         self.readiness.followers = [*followers, components.progress_follower]
+        if components.scaling is not None:
+            components.scaling.followers = list(self.readiness.followers)
         return {f"follow {follower.table}": follower.run for follower in followers}
 
     def apply_settings(self, settings: SiteSettings) -> None:
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -35,6 +35,7 @@
 from ..forwarding.strikes import TABLE as STRIKES_TABLE
 from ..forwarding.strikes import CrashStrikes
 from ..interfaces import Clock, Metrics
+from ..interfaces.control_plane import ControlPlane
 from ..interfaces.relay import RelayClient
 from ..interfaces.row_store import RowStore
 from ..interfaces.server_client import (
@@ -64,6 +65,7 @@
 )
 from ..relay.entry_vms import TABLE as ENTRY_VMS_TABLE
 from ..routes import RouteTable
+from ..scaling import ScalingDuties
 from ..storage.feed_pause import MAX_FEED_PAUSE_MS, feed_pause_ms
 from ..storage.follower import TableFollower, TableReader
 from ..storage.store_time import StoreTime
@@ -95,6 +97,8 @@
         Source of time.
     metrics : Metrics
         Destination of counters, gauges and durations.
+    control_plane : ControlPlane or None
+        The platform's API for usage reports and orders of servers, if there is one.
     """
 
     store: RowStore
@@ -103,6 +107,7 @@
     relay_client: RelayClient
     clock: Clock
     metrics: Metrics
+    control_plane: ControlPlane | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +139,8 @@
         Time limits agreed with the platform.
     row_bytes : int
         Maximum size of a row value in the store.
+    duties : tuple of str
+        Duties towards the platform, as in the settings.
     """
 
     def __init__(
@@ -142,6 +149,7 @@
         dependencies: SiteDependencies,
         bounds: Bounds,
         row_bytes: int,
+        duties: tuple[str, ...] = (),
     ) -> None:
         self.identity = identity
         self.dependencies = dependencies
@@ -174,6 +182,9 @@
         self.build_forwarder()
         self.build_orders()
         self.build_batches(row_bytes)
+        self.scaling: ScalingDuties | None = None
+        if "autoscale" in duties and dependencies.control_plane is not None:
+            self.build_scaling(dependencies.control_plane)
 
     def build_limits(self) -> None:
         """Build the gate for limited servers and what it shares with other VMs."""
@@ -332,6 +343,18 @@
             self.batch_ownership, self.routes, self.progress_view, repository, clock
         )
 
+    def build_scaling(self, control_plane: ControlPlane) -> None:
+        """Build the plans of servers; the followers of other tables are added later."""
+        self.scaling = ScalingDuties(
+            self.routes,
+            self.progress_view,
+            self.directory,
+            control_plane,
+            self.dependencies.clock,
+            self.dependencies.metrics,
+        )
+        self.scaling.followers.append(self.progress_follower)
+
     def make_follower(
         self,
         table: str,
@@ -370,4 +393,5 @@
             "orders": self.order_controller.run,
             "batches": self.batch_ownership.watch,
             "missing servers": self.directory.drop_missing_periodically,
+            **({"scaling": self.scaling.run} if self.scaling else {}),
         }
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -1,7 +1,7 @@
 """Entry VMs with all their services on one in-memory store, without a network."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from result import Err
 
@@ -15,6 +15,7 @@
 )
 from ebonylb.fleet import ListedServer, ServerStage
 from ebonylb.fleet.selector import Locality
+from ebonylb.interfaces.control_plane import ControlPlane
 from ebonylb.interfaces.server_client import ModelVersion
 from ebonylb.routes import (
     Configuration,
@@ -158,9 +159,11 @@
                 LocalRelayClient(world.vms, world.clock),
                 world.clock,
                 NullMetrics(),
+                world.control_plane,
             ),
             Bounds(lease_ms=world.lease_ms),
             65_536,
+            ("autoscale",),
         )
         self.routes, self.directory = duties.routes, duties.directory
         self.forwarder, self.strikes = duties.forwarder, duties.strikes
@@ -171,6 +174,7 @@
         self.reachability, self.entry_vms = duties.reachability, duties.entry_vms
         self.standby = duties.standby
         self.relay_receiver = duties.relay_receiver
+        self.scaling = duties.scaling
         self.registry, self.limits = duties.limit_registry, duties.limit_gate
         self.routes.apply(world.configuration)
         self.tasks = [
@@ -182,6 +186,8 @@
         """Update the directory with the servers' current entries."""
         for server in self.world.listed_servers():
             self.directory.put(server)
+        for name in self.world.unlisted:
+            self.directory.remove(name)
 
     def stop(self) -> None:
         """Cancel all tasks at once, as a loss of power does."""
@@ -201,6 +207,15 @@
         Configuration of the entry VMs; None for that of `configuration`.
     lease_ms : float
         Lease duration of the entry VMs.
+
+    Attributes
+    ----------
+    control_plane : ControlPlane or None
+        Set before the first entry VM starts, which scales engines through it.
+    listing_options : dict of str to dict
+        Overrides of the directory entries of single servers.
+    unlisted : set of str
+        Servers that are no longer listed.
     """
 
     def __init__(
@@ -217,6 +232,9 @@
         self.port = FakeServers(self.clock)
         self.ports: list[RecordedPort] = []
         self.vms: dict[str, EntryVm] = {}
+        self.control_plane: ControlPlane | None = None
+        self.listing_options: dict[str, dict[str, object]] = {}
+        self.unlisted: set[str] = set()
         self.services: dict[str, str] = {}
         domains = list(REGIONS)
         self.domains: dict[str, str] = {}
@@ -233,7 +251,7 @@
 
     def listed_servers(self) -> list[ListedServer]:
         """Return the directory entries of all servers."""
-        return [
+        listed = [
             ListedServer(
                 server.name,
                 self.services[server.name],
@@ -246,7 +264,17 @@
                 software_version=server.software_version,
             )
             for number, server in enumerate(self.port.servers.values())
+            if server.name not in self.unlisted
         ]
+        return [
+            replace(server, **self.listing_options.get(server.name, {}))
+            for server in listed
+        ]
+
+    def refresh(self) -> None:
+        """Update the directories of all entry VMs."""
+        for vm in self.vms.values():
+            vm.refresh()
 
     def start(
         self, name: str, domain: str = "north", incarnation: str = "1"
