--- a/packages/ebonylb/src/ebonylb/service/duty_components.py
+++ b/packages/ebonylb/src/ebonylb/service/duty_components.py
@@ -27,6 +27,7 @@
 from .site_settings import Bounds
 
 USAGE_DUTY = "usage_report"
+SCALING_DUTY = "autoscale"
 # All entry VMs follow the reports, a few rows for each window. With these intervals it
 # costs each of them one call in a few seconds.
 REPORTS_FEED_PAUSE_MS = 500.0
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -223,6 +223,8 @@
             ),
         ]
         self.readiness.followers = [*followers, components.progress_follower]
+        if components.scaling is not None:
+            components.scaling.followers = list(self.readiness.followers)
         return {f"follow {follower.table}": follower.run for follower in followers}
 
     def apply_settings(self, settings: SiteSettings) -> None:
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -60,11 +60,17 @@
 )
 from ..relay.entry_vms import TABLE as ENTRY_VMS_TABLE
 from ..routes import RouteTable
+from ..scaling import ScalingDuties
 from ..storage.feed_pause import MAX_FEED_PAUSE_MS, feed_pause_ms
 from ..storage.follower import TableFollower, TableReader
 from ..storage.store_time import StoreTime
 from ..usage import CountingPool
-from .duty_components import DutyComponents, DutyDependencies, DutyPlan
+from .duty_components import (
+    SCALING_DUTY,
+    DutyComponents,
+    DutyDependencies,
+    DutyPlan,
+)
 from .site_dependencies import EntryVmIdentity, SiteDependencies
 from .site_settings import Bounds
 
@@ -143,6 +149,7 @@
         self.build_forwarder()
         self.build_orders()
         self.build_batches(row_bytes)
+        self.scaling = self.build_scaling(duty_plan)
         self.duties = self.build_duties(duty_plan)
 
     def build_limits(self) -> None:
@@ -313,6 +320,22 @@
             self.batch_ownership, self.routes, self.progress_view, repository, clock
         )
 
+    def build_scaling(self, plan: DutyPlan | None) -> ScalingDuties | None:
+        """Build the plans of servers; the followers of other tables are added later."""
+        control_plane = self.dependencies.control_plane
+        if control_plane is None or plan is None or SCALING_DUTY not in plan.duties:
+            return None
+        scaling = ScalingDuties(
+            self.routes,
+            self.progress_view,
+            self.directory,
+            control_plane,
+            self.dependencies.clock,
+            self.dependencies.metrics,
+        )
+        scaling.followers.append(self.progress_follower)
+        return scaling
+
     def build_duties(self, plan: DutyPlan | None) -> DutyComponents | None:
         """Build the duties towards the platform, if there are any."""
         dependencies = self.dependencies
@@ -334,6 +357,7 @@
                 lambda: len(self.directory.servers),
             ),
             self.bounds,
+            [self.scaling] if self.scaling else [],
         )
         if duties.usage is not None:
             self.direct_pool.usage = duties.usage.counter
@@ -378,4 +402,5 @@
             "batches": self.batch_ownership.watch,
             "missing servers": self.directory.drop_missing_periodically,
             **(self.duties.background_tasks() if self.duties else {}),
+            **({"scaling": self.scaling.run} if self.scaling else {}),
         }
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -16,6 +16,7 @@
 )
 from ebonylb.fleet import ListedServer, ServerStage
 from ebonylb.fleet.selector import Locality
+from ebonylb.interfaces.control_plane import ControlPlane
 from ebonylb.interfaces.row_store import StoredRow
 from ebonylb.interfaces.server_client import ModelVersion
 from ebonylb.routes import (
@@ -207,7 +208,8 @@
                 LocalRelayClient(world.vms, world.clock),
                 self.clock,
                 NullMetrics(),
-                FakeControlPlaneClient(world.platform, self.name),
+                world.control_plane
+                or FakeControlPlaneClient(world.platform, self.name),
             ),
             world.bounds,
             65_536,
@@ -223,6 +225,7 @@
         self.reachability, self.entry_vms = duties.reachability, duties.entry_vms
         self.standby = duties.standby
         self.relay_receiver = duties.relay_receiver
+        self.scaling = duties.scaling
         self.registry, self.limits = duties.limit_registry, duties.limit_gate
         self.key_check = duties.key_check
         tasks = list(duties.background_tasks().values())
@@ -247,6 +250,8 @@
         """Update the directory with the servers' current entries."""
         for server in self.world.listed_servers():
             self.directory.put(server)
+        for name in self.world.unlisted:
+            self.directory.remove(name)
 
     def stop(self) -> None:
         """Cancel all tasks at once, as a loss of power does."""
@@ -273,6 +278,15 @@
         Duties of the entry VMs towards the platform.
     bounds : dict of str to float or bool
         Further bounds of the entry VMs.
+
+    Attributes
+    ----------
+    control_plane : ControlPlane or None
+        Set before the first entry VM starts, to replace `platform` for its calls.
+    listing_options : dict of str to dict
+        Overrides of the directory entries of single servers.
+    unlisted : set of str
+        Servers that are no longer listed.
     """
 
     def __init__(
@@ -299,6 +313,9 @@
         self.port = FakeServers(self.clock)
         self.ports: list[RecordedPort] = []
         self.vms: dict[str, EntryVm] = {}
+        self.control_plane: ControlPlane | None = None
+        self.listing_options: dict[str, dict[str, object]] = {}
+        self.unlisted: set[str] = set()
         self.services: dict[str, str] = {}
         domains = list(REGIONS)
         self.domains: dict[str, str] = {}
@@ -325,7 +342,7 @@
 
     def listed_servers(self) -> list[ListedServer]:
         """Return the directory entries of all servers."""
-        return [
+        listed = [
             ListedServer(
                 server.name,
                 self.services[server.name],
@@ -338,7 +355,17 @@
                 software_version=server.software_version,
             )
             for number, server in enumerate(self.port.servers.values())
+            if server.name not in self.unlisted
         ]
+        return [
+            replace(server, **self.listing_options.get(server.name, {}))
+            for server in listed
+        ]
+
+    def refresh(self) -> None:
+        """Update the directories of all entry VMs."""
+        for vm in self.vms.values():
+            vm.refresh()
 
     def start(
         self, name: str, domain: str = "north", incarnation: str = "1"
