--- a/packages/ebonylb/src/ebonylb/batches/item_attempt.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_attempt.py
@@ -29,9 +29,6 @@
 # Minimum time on a server before its speed is judged, and so between two moves.
 MIN_RUN_BEFORE_MOVE_MS = 200.0
 MAX_MOVES = 10
-# A run with this many events is likely to be the last of its step: only a tenth of the
-# items is longer.
-LONG_RUN_EVENTS = 50
 # A server that refuses a model is loading its weights, which takes about one second.
 REFUSAL_PAUSE_MS = 150.0
 # Deadline sent to servers. No caller waits for a single item, and closing the
@@ -328,7 +325,8 @@
         """Return whether the rest of a run should move to another server."""
         if state.moves >= MAX_MOVES:
             return False
-        need.remaining_events = self.lengths.remaining_events(state, need.service)
-        return self.move_policy.should_move(
-            server, need, len(state.events) >= LONG_RUN_EVENTS
+        need.remaining_events = self.lengths.remaining_events(
+            state, need.service, need.route
         )
+        is_long = self.lengths.is_long(state, need.route)
+        return self.move_policy.should_move(server, need, is_long)
--- a/packages/ebonylb/src/ebonylb/batches/item_run.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_run.py
@@ -81,9 +81,12 @@
             service=service,
             model=item.model or header.model,
             due_ms=due_ms,
-            remaining_events=self.lengths.remaining_events(state, service),
+            remaining_events=self.lengths.remaining_events(
+                state, service, header.route
+            ),
             min_version=header.min_version,
             group=item.group,
+            route=header.route,
         )
         if state.software_version is not None:
             if self.directory.has_ready_version(service, state.software_version):
@@ -173,11 +176,14 @@
             try:
                 result = await self.run_on_server(server, state, need, header, route)
                 if result is not None:
+                    if result.succeeded:
+                        self.lengths.record(header.route, len(state.events))
                     self.log_result(state, header, result, started_ms)
                     return result
                 avoid = None
             except RunMovedError:
                 avoid = server.name
+                continue
             except StepError as error:
                 avoid = server.name
                 self.record_broken_run(server, state, error)
--- a/packages/ebonylb/src/ebonylb/batches/move_policy.py
+++ b/packages/ebonylb/src/ebonylb/batches/move_policy.py
@@ -10,8 +10,7 @@
 DISTURBED_FACTOR = 1.7
 UNDISTURBED_FACTOR = 1.25
 # Engines of one service differ in speed. A run moves from one that is slower than the
-# median by this factor if it gains more than the minimum, which is several times the
-# cost of a move.
+# median by this factor if it gains more than the minimum: a move takes 150 to 190 ms.
 SLOWER_FACTOR = 1.1
 MIN_MOVE_GAIN_MS = 250.0
 
@@ -32,32 +31,58 @@
         self.clock = placement.clock
 
     def should_move(
-        self, server: ListedServer, need: ItemRequirements, long: bool = False
+        self, server: ListedServer, need: ItemRequirements, is_long: bool = False
     ) -> bool:
-        """Return whether a run would end sooner on another server.
+        """Return whether a run would end enough sooner on another server.
 
-        A long run also moves away from a server that is only temporarily disturbed, or
-        that is steadily slower than another one.
+        Only the long items of a step decide when it is whole. Such an item also leaves
+        a server that is disturbed for a moment, or steadily slower than another one;
+        for the others, a move costs a prompt and a connection and gains nobody
+        anything.
+
+        Parameters
+        ----------
+        is_long : bool
+            Whether the item is known to be one of the longest.
         """
         now = self.clock.monotonic_ms()
         median_gap_ms = self.selector.median_gap_ms(need.service)
         condition = self.directory.condition(server.name)
         gap_ms = condition.expected_gap_ms(median_gap_ms, now)
-        slow = gap_ms > SLOW_FACTOR * median_gap_ms
-        disturbed = (
-            long and condition.recent_slowness(median_gap_ms, now) > DISTURBED_FACTOR
-        )
-        slower = gap_ms > SLOWER_FACTOR * median_gap_ms
-        if not slow and not disturbed and not slower:
-            return False
-        other = self.placement.choose(replace(need, avoid=server.name))
+        is_slow = gap_ms > SLOW_FACTOR * median_gap_ms
+        is_disturbed = condition.recent_slowness(median_gap_ms, now) > DISTURBED_FACTOR
+        if not is_slow:
+            if not is_disturbed and gap_ms <= SLOWER_FACTOR * median_gap_ms:
+                return False
+            share = self.placement.length_share(need, median_gap_ms)
+            if not is_long and share < 1.0:
+                return False
+        other = self.find_target(server, need, median_gap_ms)
         if other is None:
             return False
         other_condition = self.directory.condition(other.name)
-        if slow:
-            return True
         if other_condition.recent_slowness(median_gap_ms, now) >= UNDISTURBED_FACTOR:
             return False
+        if is_disturbed and not is_slow:
+            return need.remaining_events * median_gap_ms > MIN_MOVE_GAIN_MS
         other_gap_ms = other_condition.expected_gap_ms(median_gap_ms, now)
-        gain_ms = need.remaining_events * (gap_ms - other_gap_ms)
-        return disturbed or gain_ms > MIN_MOVE_GAIN_MS
+        return need.remaining_events * (gap_ms - other_gap_ms) > MIN_MOVE_GAIN_MS
+
+    def find_target(
+        self, server: ListedServer, need: ItemRequirements, median_gap_ms: float
+    ) -> ListedServer | None:
+        """Return the server that a run may move to, or None.
+
+        One with recent events is known to be fast. Another one may be disturbed or
+        slowed down itself, and is used only if it was not slower when it was last seen.
+        """
+        elsewhere = replace(need, avoid=server.name)
+        observed = self.placement.choose(elsewhere, observed_only=True)
+        if observed is not None:
+            return observed
+        other = self.placement.choose(elsewhere)
+        if other is None or self.directory.condition(other.name).was_slow(
+            median_gap_ms, SLOWER_FACTOR
+        ):
+            return None
+        return other
--- a/packages/ebonylb/src/ebonylb/batches/placement.py
+++ b/packages/ebonylb/src/ebonylb/batches/placement.py
@@ -52,6 +52,8 @@
         Group of items with the same prompt.
     avoid : str or None
         Name of the server that the item was moved away from or that failed it.
+    route : str
+        Name of the batch's route, whose texts have similar lengths.
     """
 
     service: str
@@ -64,6 +66,7 @@
     received_events: int = 0
     group: str = ""
     avoid: str | None = None
+    route: str = ""
 
     def server_criteria(self) -> tuple[object, ...]:
         """Return the fields that decide which servers may run the item."""
@@ -237,7 +240,10 @@
         )
 
     def choose(
-        self, need: ItemRequirements, forced: bool = False
+        self,
+        need: ItemRequirements,
+        forced: bool = False,
+        observed_only: bool = False,
     ) -> ListedServer | None:
         """Return the cheapest server with a free slot and room in its limit, or None.
 
@@ -260,6 +266,10 @@
             share = None if limits is None else limits.get(server.name, 0)
             if self.is_full(server, need, share, now, forced):
                 continue
+            if observed_only and not self.directory.condition(
+                server.name
+            ).has_recent_gap(now):
+                continue
             if not self.selector.limits.can_send(server):
                 continue
             if not forced and self.is_unfavourable(server, need, median_gap_ms, now):
--- a/packages/ebonylb/src/ebonylb/fleet/condition.py
+++ b/packages/ebonylb/src/ebonylb/fleet/condition.py
@@ -19,6 +19,13 @@
 RECENT_GAP_TIME_CONSTANT_MS = 120.0
 # The recent gap is ignored when older than this: a disturbance lasts about 600 ms.
 RECENT_GAP_TTL_MS = 400.0
+# The usual gap follows shorter gaps fast and longer ones slowly. It is that of the
+# server's own speed: neighbours disturb it for 600 ms at a time, a seventh of the time.
+USUAL_GAP_RISE_MS = 10_000.0
+USUAL_GAP_FALL_MS = 300.0
+# Servers of one service differ in speed by a third. One whose usual gap is longer than
+# the median by more than this factor was slowed down and may have recovered.
+MAX_USUAL_SLOWNESS = 1.6
 # Weights of the newest observation in the other moving averages.
 DURATION_WEIGHT = 0.2
 FAILURE_WEIGHT = 0.15
@@ -55,6 +62,9 @@
         Monotonic time of the last change of `gap_ms` and `recent_gap_ms`.
     recent_gap_ms : float
         Average time between the last few stream events.
+    usual_gap_ms : float or None
+        Time between stream events while no neighbour disturbs the server; kept while
+        it has no streams.
     duration_ms : float or None
         Average duration of a plain request.
     failure_share : float
@@ -87,6 +97,7 @@
     gap_ms: float | None = None
     gap_updated_ms: float = -1e12
     recent_gap_ms: float = 0.0
+    usual_gap_ms: float | None = None
     duration_ms: float | None = None
     failure_share: float = 0.0
     failure_share_updated_ms: float = 0.0
@@ -140,8 +151,18 @@
         self.recent_gap_ms += (1 - math.exp(-span / RECENT_GAP_TIME_CONSTANT_MS)) * (
             gap_ms - self.recent_gap_ms
         )
+        self.update_usual_gap(gap_ms, span)
         self.gap_updated_ms = now_ms
 
+    def update_usual_gap(self, gap_ms: float, span_ms: float) -> None:
+        """Add a gap to the asymmetric average of the server's own speed."""
+        if self.usual_gap_ms is None:
+            self.usual_gap_ms = gap_ms
+        is_longer = gap_ms > self.usual_gap_ms
+        time_constant_ms = USUAL_GAP_RISE_MS if is_longer else USUAL_GAP_FALL_MS
+        weight = 1 - math.exp(-span_ms / time_constant_ms)
+        self.usual_gap_ms += weight * (gap_ms - self.usual_gap_ms)
+
     def record_success(self, now_ms: float, duration_ms: float | None = None) -> None:
         """Record a complete response, with its duration for a plain request."""
         self.consecutive_failures = 0
@@ -210,17 +231,25 @@
         """Return whether the average gap was above `limit` times the median."""
         return self.gap_ms is not None and self.gap_ms > limit * median_gap_ms
 
+    def has_recent_gap(self, now_ms: float) -> bool:
+        """Return whether events of a stream have arrived lately."""
+        return now_ms - self.gap_updated_ms <= RECENT_GAP_TTL_MS
+
     def expected_gap_ms(self, median_gap_ms: float, now_ms: float) -> float:
-        """Return the average gap; the median when there is no recent observation."""
-        if self.gap_ms is None or now_ms - self.gap_updated_ms > SLOWNESS_TTL_MS:
+        """Return the average gap, or what is usual if there is no recent observation.
+
+        That is the median of the service for a server that was never observed, or that
+        was slowed down and may have recovered.
+        """
+        if self.gap_ms is not None and now_ms - self.gap_updated_ms <= SLOWNESS_TTL_MS:
+            return self.gap_ms
+        usual_gap_ms = self.usual_gap_ms
+        if usual_gap_ms is None or usual_gap_ms > MAX_USUAL_SLOWNESS * median_gap_ms:
             return median_gap_ms
-        return self.gap_ms
+        return usual_gap_ms
 
     def slowness(self, median_gap_ms: float, now_ms: float) -> float:
-        """Return the average gap relative to the median, at least 1.
-
-        It is 1 when there is no recent observation.
-        """
+        """Return the expected gap relative to the median, at least 1."""
         return max(1.0, self.expected_gap_ms(median_gap_ms, now_ms) / median_gap_ms)
 
     def is_backing_off(self, now_ms: float) -> bool:
--- a/packages/ebonylb/tests/test_long_items.py
+++ b/packages/ebonylb/tests/test_long_items.py
@@ -10,8 +10,10 @@
 
 from ebonylb.batches import Batch
 from ebonylb.batches.item_state import ItemState
-from ebonylb.batches.lengths import LengthEstimate
+from ebonylb.batches.lengths import LengthEstimate, LengthHistory
+from ebonylb.batches.move_policy import MovePolicy
 from ebonylb.batches.placement import ItemRequirements
+from ebonylb.fleet import ServerCondition
 from ebonylb_standins.histories.virtual_time import run_virtual
 from ebonylb_standins.site.servers import EVENT_INTERVAL_MS
 from ebonylb_standins.site.world import World, read_all
@@ -118,6 +120,82 @@
         run_virtual(scenario())
 
 
+class TestLengthHistory:
+    """The load: texts with a heavy tail, whose callers estimate them too short."""
+
+    def test_the_rest_of_a_long_text_is_learned_from_its_route(self):
+        """Guards against long texts that count as nearly complete until their end."""
+        history = LengthHistory()
+        for events in [15] * 36 + [137] * 4:
+            history.record(events)
+        assert history.remaining_events(20) == 117
+        assert history.remaining_events(14) == pytest.approx(13.2)
+        assert history.remaining_events(137) is None
+
+    def test_a_text_longer_than_nine_tenths_of_the_others_is_long(self):
+        """Guards against moves of texts that are short where they come from."""
+        history = LengthHistory()
+        assert not history.is_long(49) and history.is_long(50)
+        for events in [8] * 18 + [30] * 2:
+            history.record(events)
+        assert not history.is_long(7) and history.is_long(8)
+        for _ in range(20):
+            history.record(90)
+        assert not history.is_long(50)
+
+
+class TestMoves:
+    """The load: engines that differ in speed and are disturbed for a moment."""
+
+    @staticmethod
+    def place(world, vm, gaps):
+        """Observe a gap on each engine and return the policy."""
+        now = world.clock.monotonic_ms()
+        for name, gap_ms in gaps.items():
+            condition = vm.directory.condition(name)
+            for step in range(80):
+                condition.record_gap(gap_ms, 33, now + step * gap_ms)
+            condition.gap_updated_ms = now
+        return MovePolicy(vm.placement)
+
+    @pytest.mark.parametrize(("is_long", "moves"), [(False, False), (True, True)])
+    def test_only_a_long_item_leaves_a_slower_engine(self, is_long, moves):
+        """Guards against moves that cost a prompt and make no step complete sooner."""
+
+        async def scenario():
+            world = World(engines=3)
+            vm = world.start("a")
+            policy = self.place(world, vm, {"e0": 43, "e1": 33, "e2": 33})
+            need = ItemRequirements("lm", "m", world.clock.monotonic_ms() + 7_500, 40)
+            server = vm.directory.get("e0")
+            assert policy.should_move(server, need, is_long) is moves
+
+        run_virtual(scenario())
+
+    def test_a_long_item_does_not_move_to_an_engine_that_was_slow(self):
+        """Guards against moves to an engine whose slowness was seen long ago."""
+
+        async def scenario():
+            world = World(engines=2)
+            vm = world.start("a")
+            policy = self.place(world, vm, {"e0": 43, "e1": 60})
+            vm.directory.condition("e1").gap_updated_ms = -10_000
+            need = ItemRequirements("lm", "m", world.clock.monotonic_ms() + 7_500, 90)
+            assert not policy.should_move(vm.directory.get("e0"), need, True)
+
+        run_virtual(scenario())
+
+    def test_the_speed_of_an_engine_is_known_after_a_pause(self):
+        """Guards against long items that begin on slow engines after each pause."""
+        condition = ServerCondition()
+        now = 0.0
+        for step in range(200):
+            gap_ms = 107.5 if 100 <= step < 106 else 43.0
+            now += gap_ms
+            condition.record_gap(gap_ms, 33, now)
+        assert condition.expected_gap_ms(33, now + 60_000) == pytest.approx(43, rel=0.1)
+
+
 class TestOrder:
     def test_the_item_that_must_start_first_goes_first(self):
         """A long item of a later step goes before a short one that can still wait."""
