--- a/packages/ebonylb/tests/test_customers.py
+++ b/packages/ebonylb/tests/test_customers.py
@@ -11,7 +11,7 @@
 from result import Err, Ok
 
 from ebonylb.adapters import NullMetrics
-from ebonylb.batches import BatchHeader
+from ebonylb.batches import BatchHeader, ScoringRequest
 from ebonylb.customers import BatchAccess, KeyCheck, RevocationBound
 from ebonylb.interfaces.row_store import RowKey, StoredRow
 from ebonylb.routes import Configuration, Customer, Route, RouteKind, RouteTable
@@ -332,3 +332,13 @@
         fields = msgspec.to_builtins(header)
         del fields["customer"]
         assert msgspec.convert(fields, BatchHeader).customer == ""
+        earlier = msgspec.defstruct(
+            "ScoringRequest",
+            [("request_id", str), ("host", str), ("target", str), ("body", bytes)],
+            array_like=True,
+        )
+        scoring = ScoringRequest("s", "h", "/", b"", (("name", "acme"),))
+        encoded = msgspec.msgpack.encode(scoring)
+        request = msgspec.msgpack.decode(encoded, type=earlier)
+        encoded = msgspec.msgpack.encode(request)
+        assert msgspec.msgpack.decode(encoded, type=ScoringRequest).headers == ()
