--- a/packages/ebonylb/src/ebonylb/duties/runner.py
+++ b/packages/ebonylb/src/ebonylb/duties/runner.py
@@ -92,7 +92,7 @@
     states : dict of str to DutyState
         State by subject.
     known_subjects : set of str
-        Subjects that have been due since the start.
+        Subjects of all duties since the start, due or not.
     failed_calls : int
         Calls on any subject without an answer since the last answer.
     avoid_until_ms : float
@@ -136,12 +136,9 @@
     def step(self) -> None:
         """Start the calls that are due and may start now."""
         now = self.clock.monotonic_ms()
-        duties = {
-            duty.subject: duty
-            for source in self.sources
-            for duty in source.due_duties()
-            if duty.is_due()
-        }
+        named = [duty for source in self.sources for duty in source.due_duties()]
+        self.known_subjects.update(duty.subject for duty in named)
+        duties = {duty.subject: duty for duty in named if duty.is_due()}
         for subject in [s for s in self.states if s not in duties]:
             state = self.states[subject]
             state.due_since_ms = None
@@ -151,7 +148,6 @@
             state = self.states.setdefault(subject, DutyState())
             if state.due_since_ms is None:
                 state.due_since_ms = now
-                self.known_subjects.add(subject)
             if self.may_start(subject, state, now) and self.budget.take(now):
                 state.task = asyncio.create_task(self.run_duty(duty, state))
 
--- a/packages/ebonylb/src/ebonylb/service/duty_components.py
+++ b/packages/ebonylb/src/ebonylb/service/duty_components.py
@@ -166,7 +166,11 @@
             dependencies.leases,
             dependencies.clock,
             dependencies.metrics,
-            CallBudget(plan.calls_per_s, lambda: len(entry_vms.known)),
+            # A subject has one holder, so that there are no more than either.
+            CallBudget(
+                plan.calls_per_s,
+                lambda: min(len(entry_vms.known), len(self.runner.known_subjects)),
+            ),
             dependencies.count_servers,
             lambda: len(entry_vms.known) > 1,
         )
--- a/packages/ebonylb/src/ebonylb/usage/reporter.py
+++ b/packages/ebonylb/src/ebonylb/usage/reporter.py
@@ -28,6 +28,9 @@
 # Rows of windows that nobody reported are searched for after this many reports.
 CLEANING_INTERVAL = 12
 START_RETRY_MS = 500.0
+# Entry VMs that start together know each other's wall clocks after this time: each one
+# writes its row at once and follows the others' rows.
+CLOCKS_KNOWN_MS = 1_500.0
 
 
 class UsageReporter(Duty, DutySource):
@@ -96,8 +99,10 @@
 
         To be called once the rows of the reports have been read.
         """
-        first_window = self.windows.window_of(self.agreed_time.now_ms()) + 1
-        await self.clock.sleep_ms(self.start_delay_ms())
+        started_ms = self.clock.monotonic_ms()
+        await self.clock.sleep_ms(CLOCKS_KNOWN_MS + self.start_delay_ms())
+        true_start_ms = self.agreed_time.true_ms(started_ms)
+        first_window = self.windows.window_of(true_start_ms) + 1
         while self.reports.progress is None:
             if not await self.reports.begin(first_window):
                 await self.clock.sleep_ms(START_RETRY_MS)
--- a/packages/ebonylb/tests/test_usage.py
+++ b/packages/ebonylb/tests/test_usage.py
@@ -370,11 +370,7 @@
                     load.vms[1].clock.wall_error_ms = 0.0
             load.check()
 
-        async def start(load):
-            load.world.wall_errors_ms["wrong"] = jump_ms
-            await scenario(load)
-
-        run(start, entry_vms=5)
+        run(scenario, entry_vms=5, wall_errors_ms={"wrong": jump_ms})
 
     def test_a_holder_that_does_not_reach_the_platform(self):
         async def scenario(load):
@@ -415,6 +411,16 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize("error_ms", [-9_000.0, 9_000.0])
+    def test_the_first_window_is_named_by_true_time(self, error_ms):
+        """Guards against a wrong wall clock that decides where the reports begin."""
+
+        async def scenario(load):
+            await load.run(17)
+            load.check()
+
+        run(scenario, wall_errors_ms={"vm-0": error_ms})
+
     def test_all_entry_vms_restart(self):
         """Guards against windows that are skipped, or sent with other counts."""
 
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -234,6 +234,8 @@
         Lease duration of the entry VMs.
     duties : tuple of str
         Duties of the entry VMs towards the platform.
+    wall_errors_ms : dict of str to float or None
+        How far the wall clocks of entry VMs are ahead of true time when they start.
     """
 
     def __init__(
@@ -243,6 +245,7 @@
         site_configuration: Configuration | None = None,
         lease_ms: float = 3_000,
         duties: tuple[str, ...] = (),
+        wall_errors_ms: dict[str, float] | None = None,
     ) -> None:
         self.clock = LoopClock()
         self.data = StoreData()
@@ -250,7 +253,7 @@
         self.lease_ms = lease_ms
         self.duties = duties
         self.platform = FakeControlPlane(self.clock)
-        self.wall_errors_ms: dict[str, float] = {}
+        self.wall_errors_ms = wall_errors_ms or {}
         self.port = FakeServers(self.clock)
         self.ports: list[RecordedPort] = []
         self.vms: dict[str, EntryVm] = {}
