--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -276,6 +276,8 @@
         Lease duration of the entry VMs.
     duties : tuple of str
         Duties of the entry VMs towards the platform.
+    wall_errors_ms : dict of str to float or None
+        How far the wall clocks of entry VMs are ahead of true time when they start.
     bounds : dict of str to float or bool
         Further bounds of the entry VMs.
 
@@ -296,6 +298,7 @@
         site_configuration: Configuration | None = None,
         lease_ms: float = 3_000,
         duties: tuple[str, ...] = (),
+        wall_errors_ms: dict[str, float] | None = None,
         **bounds: float | bool,
     ) -> None:
         self.clock = LoopClock()
@@ -309,7 +312,7 @@
             self.publish(self.configuration)
         self.duties = duties
         self.platform = FakeControlPlane(self.clock)
-        self.wall_errors_ms: dict[str, float] = {}
+        self.wall_errors_ms = wall_errors_ms or {}
         self.port = FakeServers(self.clock)
         self.ports: list[RecordedPort] = []
         self.vms: dict[str, EntryVm] = {}
