--- a/packages/ebonylb/src/ebonylb/scaling/demand.py
+++ b/packages/ebonylb/src/ebonylb/scaling/demand.py
@@ -13,11 +13,11 @@
 # A trainer that pauses, such as for an evaluation, returns with steps of the same size,
 # and a server boots longer than half of the time in which a step is due.
 BATCH_MEMORY_MS = 120_000.0
-# Items may wait this part of their batch's time for a slot: 0.75 of 7.5 s. An output of
-# 90 events takes 5 s, which leaves twice as much.
-MAX_WAIT_SHARE = 0.1
-# However short the items are, half of those that wait get a slot at once.
-MAX_ITEMS_PER_SLOT = 2.0
+# Items may wait this part of their batch's time for a slot: 1.9 of 7.5 s. The longest
+# items start first and need up to 90% of the time, short ones a fifth.
+MAX_WAIT_SHARE = 0.25
+# However short the items are, a third of those that wait get a slot at once.
+MAX_ITEMS_PER_SLOT = 3.0
 # Items that must have ended before their mean duration is used, and the time after
 # which an ended item counts half.
 MIN_ENDED_ITEMS = 20.0
@@ -50,25 +50,26 @@
         """Return the slots with which each item starts in time.
 
         A slot runs several items one after the other while the batch is young. Later,
-        and as long as the duration of an item is unknown, each item has its own.
+        each item has its own. As long as the duration of an item is unknown, nobody
+        has waited too long.
         """
         wait_left_ms = max(0.0, self.max_wait_ms - self.age_ms)
         if not item_ms:
-            return self.unfinished
+            return self.unfinished / (MAX_ITEMS_PER_SLOT if wait_left_ms else 1.0)
         return self.unfinished / min(MAX_ITEMS_PER_SLOT, 1 + wait_left_ms / item_ms)
 
 
 def slots_wanted(
-    batches: Iterable[OpenBatch], item_ms: float | None, models: int
+    slots_of_batches: Iterable[tuple[OpenBatch, float]], models: int
 ) -> float:
-    """Return the slots that batches use or want.
+    """Return the slots that batches use or want, from those of each batch.
 
     With several models, each is served by two of `models` parts of all servers, so that
     one model with most of the demand needs more servers than the sum shows.
     """
     by_model: dict[str, float] = {}
-    for batch in batches:
-        by_model[batch.model] = by_model.get(batch.model, 0) + batch.slots(item_ms)
+    for batch, slots in slots_of_batches:
+        by_model[batch.model] = by_model.get(batch.model, 0) + slots
     total = sum(by_model.values())
     if models <= 2 or not by_model:
         return total
@@ -85,6 +86,8 @@
         Highest number of slots in use or wanted within the window.
     batch_slots : float
         Slots of the largest batch of the last two minutes.
+    item_slots : float
+        Highest number of slots within the window if each item had its own.
     known_ms : float
         Time for which the knowledge has been complete without a gap.
     was_seen : bool
@@ -95,6 +98,7 @@
     batch_slots: float
     known_ms: float
     was_seen: bool
+    item_slots: float = 0.0
 
 
 @dataclass(slots=True)
@@ -104,6 +108,13 @@
     interval: int
     slots: float
     batch_slots: float
+    item_slots: float
+
+    def raise_to(self, other: "Peak") -> None:
+        """Take over what is higher in another peak of the same interval."""
+        self.slots = max(self.slots, other.slots)
+        self.batch_slots = max(self.batch_slots, other.batch_slots)
+        self.item_slots = max(self.item_slots, other.item_slots)
 
 
 class ItemDuration:
@@ -182,17 +193,18 @@
         if self.known_since_ms is None:
             self.known_since_ms = now_ms
         item_ms = self.duration.mean_ms
-        wanted = slots_wanted(batches, item_ms, models)
-        largest = max((slots_wanted([b], item_ms, models) for b in batches), default=0)
+        shared = [(batch, batch.slots(item_ms)) for batch in batches]
+        wanted = slots_wanted(shared, models)
+        largest = max((slots_wanted([pair], models) for pair in shared), default=0)
+        items = slots_wanted([(batch, batch.unfinished) for batch in batches], models)
         self.was_seen = self.was_seen or wanted > 0
-        self.record_peak(Peak(int(now_ms // PEAK_INTERVAL_MS), wanted, largest))
+        interval = int(now_ms // PEAK_INTERVAL_MS)
+        self.record_peak(Peak(interval, wanted, largest, items))
 
     def record_peak(self, peak: Peak) -> None:
         """Add a peak, or raise that of the same interval."""
         if self.peaks and self.peaks[-1].interval == peak.interval:
-            last = self.peaks[-1]
-            last.slots = max(last.slots, peak.slots)
-            last.batch_slots = max(last.batch_slots, peak.batch_slots)
+            self.peaks[-1].raise_to(peak)
         else:
             self.peaks.append(peak)
         oldest = peak.interval - BATCH_MEMORY_MS / PEAK_INTERVAL_MS
@@ -202,13 +214,14 @@
     def demand(self, now_ms: float, window_ms: float) -> Demand:
         """Return the demand, with the peak of the last `window_ms`."""
         oldest = (now_ms - window_ms) // PEAK_INTERVAL_MS
-        recent = (peak.slots for peak in self.peaks if peak.interval >= oldest)
+        recent = [peak for peak in self.peaks if peak.interval >= oldest]
         known_since_ms = now_ms if self.known_since_ms is None else self.known_since_ms
         return Demand(
-            max(recent, default=0.0),
+            max((peak.slots for peak in recent), default=0.0),
             max((peak.batch_slots for peak in self.peaks), default=0.0),
             now_ms - known_since_ms,
             self.was_seen,
+            max((peak.item_slots for peak in recent), default=0.0),
         )
 
 
--- a/packages/ebonylb/src/ebonylb/scaling/plan.py
+++ b/packages/ebonylb/src/ebonylb/scaling/plan.py
@@ -21,8 +21,9 @@
 MIN_CALM_MS = 20_000.0
 # Between two steps down: the effect of one step on the batches must be seen.
 MIN_PAUSE_MS = 2_000.0
-# Lowering leaves this much more than raising asks for, so that a peak a little above
-# the last one raises nothing.
+# Lowering leaves this much more than a slot for each item of the peak. A fuller engine
+# generates each token more slowly, 1 to 2% for each request beside it, so that servers
+# that raising does not ask for still make steps complete sooner.
 LOWERING_MARGIN = 1.1
 
 
@@ -107,10 +108,21 @@
         return self.of_kind(False) >= need and self.survivors() >= need
 
 
-def servers_needed(situation: ScalingSituation, margin: float = 1.0) -> int:
-    """Return the number of servers that the peak needs."""
+def servers_needed(situation: ScalingSituation) -> int:
+    """Return the number of servers with which the peak is served in time."""
     demand = situation.demand
-    slots = max(demand.slots, demand.batch_slots) * margin
+    return servers_for(situation, max(demand.slots, demand.batch_slots))
+
+
+def servers_to_keep(situation: ScalingSituation) -> int:
+    """Return the number of servers below which no number is lowered."""
+    demand = situation.demand
+    slots = max(demand.slots, demand.batch_slots, demand.item_slots)
+    return servers_for(situation, slots * LOWERING_MARGIN)
+
+
+def servers_for(situation: ScalingSituation, slots: float) -> int:
+    """Return the number of servers with a number of slots."""
     # Rounded, so that a sum of fractions just above a whole server does not add one.
     servers = math.ceil(round(slots / situation.slots_per_server, 6))
     return max(servers, situation.models, 1)
@@ -212,7 +224,7 @@
 
 def lower_one(situation: ScalingSituation, draft: Draft) -> ScalingPlan:
     """Return a plan with one server less, or with a cheaper one that replaces it."""
-    need = servers_needed(situation, LOWERING_MARGIN)
+    need = servers_to_keep(situation)
     pool = next(removable_pools(draft, need), None)
     if pool is not None:
         reason = f"{need} servers are enough, and this is the dearest one"
