--- a/packages/ebonylb/src/ebonylb/batches/holder_shares.py
+++ b/packages/ebonylb/src/ebonylb/batches/holder_shares.py
@@ -69,9 +69,9 @@
         Whether it counts batches that other holders may begin just now.
     generation : int
         Number of changes of rows and engines that it is based on.
-    computed_ms, next_ms, valid_until_ms : float
-        Monotonic time of the division, earliest time of the next one, and time from
-        which on the same rows give another result.
+    next_ms, valid_until_ms : float
+        Earliest monotonic time of the next division, and time from which on the same
+        rows give another result.
     """
 
     own: dict[str, int] | None
@@ -80,7 +80,6 @@
     own_batches: frozenset[str]
     provisional: bool
     generation: int
-    computed_ms: float
     next_ms: float
     valid_until_ms: float
 
@@ -168,7 +167,7 @@
         rows_age_ms = now - self.follower.confirmed_ms
         if rows_age_ms > WITHDRAWN_AFTER_MS:
             if division is not None and division.own is not None:
-                division.own = None
+                division.own, division.valid_until_ms = None, now
                 self.log_change(service, division, now)
             return None
         if rows_age_ms > FROZEN_AFTER_MS:
@@ -189,7 +188,7 @@
     def divide(self, service: str, now_ms: float) -> Division:
         """Divide the slots of a service."""
         batches = self.open_batches.of_service(service)
-        expected = self.open_batches.expected_batches(self.name, batches, now_ms)
+        expected = self.open_batches.expected_batches(self.name, service, batches)
         holders = frozenset(b.holder for b in batches if b.unfinished > 0)
         engines = [
             EngineSlots(server.name, server.slots)
@@ -213,7 +212,6 @@
             own_batches,
             bool(expected),
             self.generation,
-            now_ms,
             now_ms + max(MIN_INTERVAL_MS, INTERVAL_PER_DURATION * duration_ms),
             now_ms
             if transfer.occupied or expected
--- a/packages/ebonylb/src/ebonylb/batches/open_batches.py
+++ b/packages/ebonylb/src/ebonylb/batches/open_batches.py
@@ -133,7 +133,7 @@
         )
 
     def expected_batches(
-        self, name: str, batches: Sequence[OpenBatch], now_ms: float
+        self, name: str, service: str, batches: Sequence[OpenBatch]
     ) -> list[OpenBatch]:
         """Return batches that other holders may begin together with one of this one.
 
@@ -141,18 +141,21 @@
         each step arrives after some 60 ms. Until then each holder of a recent batch is
         expected to begin one like the new one.
         """
+        now = self.clock.monotonic_ms()
         new = [
             batch
             for batch in batches
             if batch.holder == name
-            and now_ms - self.seen[batch.batch_id].submitted_ms < START_TOGETHER_MS
+            and now - self.seen[batch.batch_id].submitted_ms < START_TOGETHER_MS
         ]
         if not new:
             return []
         recent = {
             observed.progress.holder
             for observed in self.progress_view.by_batch_id.values()
-            if now_ms - observed.changed_ms < RECENT_HOLDER_MS
+            if now - observed.changed_ms < RECENT_HOLDER_MS
+            and (route := self.routes.find_by_name(observed.progress.header.route))
+            and items_for(route, service, 1)
         }
         missing = recent - {batch.holder for batch in batches} - {""}
         return [
