--- a/packages/ebonylb/src/ebonylb/batches/open_batches.py
+++ b/packages/ebonylb/src/ebonylb/batches/open_batches.py
@@ -142,13 +142,12 @@
         expected to begin one like the new one.
         """
         now = self.clock.monotonic_ms()
-        new = [
-            batch
+        new = {
+            batch.holder: batch
             for batch in batches
-            if batch.holder == name
-            and now - self.seen[batch.batch_id].submitted_ms < START_TOGETHER_MS
-        ]
-        if not new:
+            if now - self.seen[batch.batch_id].submitted_ms < START_TOGETHER_MS
+        }
+        if name not in new:
             return []
         recent = {
             observed.progress.holder
@@ -157,10 +156,9 @@
             and (route := self.routes.find_by_name(observed.progress.header.route))
             and items_for(route, service, 1)
         }
-        missing = recent - {batch.holder for batch in batches} - {""}
         return [
-            replace(new[0], batch_id=f"expected/{holder}", holder=holder)
-            for holder in sorted(missing)
+            replace(new[name], batch_id=f"expected/{holder}", holder=holder)
+            for holder in sorted(recent - new.keys() - {""})
         ]
 
     def forget_deleted(self) -> None:
