--- a/packages/ebonylb/src/ebonylb/batches/open_batches.py
+++ b/packages/ebonylb/src/ebonylb/batches/open_batches.py
@@ -133,7 +133,7 @@
         )
 
     def expected_batches(
-        self, name: str, batches: Sequence[OpenBatch], now_ms: float
+        self, name: str, service: str, batches: Sequence[OpenBatch]
     ) -> list[OpenBatch]:
         """Return batches that other holders may begin together with one of this one.
 
@@ -141,23 +141,24 @@
         each step arrives after some 60 ms. Until then each holder of a recent batch is
         expected to begin one like the new one.
         """
-        new = [
-            batch
+        now = self.clock.monotonic_ms()
+        new = {
+            batch.holder: batch
             for batch in batches
-            if batch.holder == name
-            and now_ms - self.seen[batch.batch_id].submitted_ms < START_TOGETHER_MS
-        ]
-        if not new:
+            if now - self.seen[batch.batch_id].submitted_ms < START_TOGETHER_MS
+        }
+        if name not in new:
             return []
         recent = {
             observed.progress.holder
             for observed in self.progress_view.by_batch_id.values()
-            if now_ms - observed.changed_ms < RECENT_HOLDER_MS
+            if now - observed.changed_ms < RECENT_HOLDER_MS
+            and (route := self.routes.find_by_name(observed.progress.header.route))
+            and items_for(route, service, 1)
         }
-        missing = recent - {batch.holder for batch in batches} - {""}
         return [
-            replace(new[0], batch_id=f"expected/{holder}", holder=holder)
-            for holder in sorted(missing)
+            replace(new[name], batch_id=f"expected/{holder}", holder=holder)
+            for holder in sorted(recent - new.keys() - {""})
         ]
 
     def forget_deleted(self) -> None:
