--- a/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
@@ -22,6 +22,8 @@
 )
 from ebonylb.outcomes import StepError
 
+from .prefill import ChunkedPrefill
+
 WEIGHT_LOAD_MS = 900.0  # duration of a weight load on the users' engines
 QUEUE_CHECK_MS = 2.0
 EVENT_INTERVAL_MS = 33.0  # 44 tokens of 0.75 ms
@@ -62,6 +64,8 @@
         ``"v1"`` name it in their data.
     limit_per_s : float or None
         Limit that all its responses name; None for none.
+    prefill : ChunkedPrefill or None
+        Processes prompts; None for an engine whose prompts take no time.
     """
 
     name: str
@@ -81,6 +85,7 @@
     says_leaving: bool = False
     software_version: str = "v1"
     limit_per_s: float | None = None
+    prefill: ChunkedPrefill | None = None
 
 
 @dataclass
@@ -95,11 +100,17 @@
         Duration of a plain request.
     status : int
         Status of the response.
+    prompt_tokens : int
+        Length of the prompt.
+    prompt : str
+        Prompts of the same name are alike and are processed once; empty for others.
     """
 
     events: int = 0
     work_ms: float = 20.0
     status: int = 200
+    prompt_tokens: int = 0
+    prompt: str = ""
 
 
 def event_data(request_id: str, number: int) -> str:
@@ -124,6 +135,7 @@
         self.planned = planned
         self.head = head
         self.holds_slot = not head.not_run
+        self.is_generating = False
         if self.holds_slot:
             server.running += 1
             server.max_running = max(server.max_running, server.running)
@@ -140,8 +152,9 @@
         model = self.port.model_of(self.request)
         version = self.head.weight_version
         first = (self.request.resume_after or 0) + 1
+        await self.process_prompt()
         for number in range(first, self.planned.events + 1):
-            await self.port.clock.sleep_ms(EVENT_INTERVAL_MS * self.server.slowdown)
+            await self.generate_event()
             while self.server.mode == "dark":
                 await self.port.clock.sleep_ms(100)
             if self.server.mode in ("resets", "absent"):
@@ -153,9 +166,28 @@
             data = event_data(self.request.request_id, number)
             if self.server.software_version != "v1":
                 data += f"@{self.server.software_version}"
+            self.port.record_event(self.request.request_id)
             yield StreamEvent(number, data, changed)
         self.close()
 
+    async def process_prompt(self) -> None:
+        """Wait until the engine has processed the prompt."""
+        if self.server.prefill is not None:
+            await self.server.prefill.process(
+                self.planned.prompt, self.planned.prompt_tokens, self.server.slowdown
+            )
+            if self.holds_slot:
+                self.is_generating = True
+                self.server.prefill.generating += 1
+
+    async def generate_event(self) -> None:
+        """Wait until the engine has generated the tokens of an event."""
+        duration_ms = EVENT_INTERVAL_MS * self.server.slowdown
+        if self.server.prefill is None:
+            await self.port.clock.sleep_ms(duration_ms)
+        else:
+            await self.server.prefill.generate(duration_ms)
+
     async def raw_events(self) -> AsyncIterator[tuple[int, bytes]]:
         """Yield the remaining events as numbered bytes."""
         async for event in self.events():
@@ -167,6 +199,9 @@
         if self.holds_slot:
             self.holds_slot = False
             self.server.running -= 1
+        if self.is_generating:
+            self.is_generating = False
+            self.server.prefill.generating -= 1
 
 
 class FakeServers(ServerClient):
@@ -180,6 +215,8 @@
         Models by request id; other requests are for model ``"m"``.
     report_count : int
         Number of requested server reports.
+    first_event_ms, last_event_ms : dict of str to float
+        Time of the first and the latest event by request id.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -188,6 +225,14 @@
         self.planned_responses: dict[str, PlannedResponse] = {}
         self.models: dict[str, str] = {}
         self.report_count = 0
+        self.first_event_ms: dict[str, float] = {}
+        self.last_event_ms: dict[str, float] = {}
+
+    def record_event(self, request_id: str) -> None:
+        """Record the time of an event that a server has generated."""
+        now = self.clock.monotonic_ms()
+        self.first_event_ms.setdefault(request_id, now)
+        self.last_event_ms[request_id] = now
 
     def add(self, server: FakeServer) -> FakeServer:
         """Add a server and return it."""
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -33,6 +33,7 @@
 
 from ..histories.virtual_time import LoopClock
 from .cut_path import CutPath
+from .prefill import ChunkedPrefill
 from .recorded_port import RecordedPort
 from .relay_path import LocalRelayClient
 from .row_store import MemoryRowStore, StoreData
@@ -201,6 +202,8 @@
         Configuration of the entry VMs; None for that of `configuration`.
     lease_ms : float
         Lease duration of the entry VMs.
+    prefill_tokens_per_ms : float or None
+        Speed at which engines process prompts; None for engines without prefill.
     """
 
     def __init__(
@@ -209,6 +212,7 @@
         plain_services: int = 2,
         site_configuration: Configuration | None = None,
         lease_ms: float = 3_000,
+        prefill_tokens_per_ms: float | None = None,
     ) -> None:
         self.clock = LoopClock()
         self.data = StoreData()
@@ -222,6 +226,10 @@
         self.domains: dict[str, str] = {}
         for number in range(engines):
             self.add_server(f"e{number}", ENGINE_SERVICE, 16, domains[number % 3])
+            if prefill_tokens_per_ms is not None:
+                self.port.servers[f"e{number}"].prefill = ChunkedPrefill(
+                    self.clock, prefill_tokens_per_ms
+                )
         for number in range(plain_services):
             self.add_server(f"p{number}", PLAIN_SERVICE, 6, domains[number % 3])
 
@@ -270,17 +278,24 @@
         lengths: list[int],
         group_size: int = 4,
         scored: bool = False,
+        prompt_tokens: int = 0,
         **header,
     ) -> Batch:
         """Return a batch with one item per entry of `lengths`, in events.
 
         If `scored`, each item has a scoring request, whose id is that of the item with
-        the prefix ``score-``. `header` overrides fields of the batch header.
+        the prefix ``score-``. With `prompt_tokens`, each group has its own prompt of
+        that length. `header` overrides fields of the batch header.
         """
         items = []
         for number, events in enumerate(lengths):
             item_id = f"{batch_id}-{number}"
-            self.port.planned_responses[item_id] = PlannedResponse(events)
+            group = f"g{number // group_size}"
+            if prompt_tokens:
+                group = f"{batch_id}/{group}"
+            self.port.planned_responses[item_id] = PlannedResponse(
+                events, prompt_tokens=prompt_tokens, prompt=group
+            )
             items.append(
                 BatchItem(
                     item_id,
@@ -288,7 +303,7 @@
                     (("Host", "site"),),
                     b"body " + item_id.encode(),
                     model="m",
-                    group=f"g{number // group_size}",
+                    group=group,
                     length_hint=events * 44,
                     scoring=self.scoring_request(item_id) if scored else None,
                 )
