--- a/packages/ebonylb/src/ebonylb/batches/item_run.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_run.py
@@ -90,6 +90,7 @@
             remaining_events=self.lengths.remaining_events(state, service),
             min_version=header.min_version,
             group=item.group,
+            prompt_tokens=item.prompt_tokens,
         )
         if state.software_version is not None:
             if self.directory.has_ready_version(service, state.software_version):
@@ -188,7 +189,7 @@
                 avoid = server.name
                 self.record_broken_run(server, state, error)
             finally:
-                self.placement.release(server)
+                self.placement.release(server, need)
             if len(state.events) > events_before:
                 retry_ms = RETRY_MS
             else:
@@ -436,7 +437,9 @@
                 )
             state.add_event(event.data, version or 0, server.software_version)
             need.software_version = state.software_version
-            if silence.has_events:
+            if not silence.has_events:
+                self.placement.prompt_load.record_first_event(need)
+            elif not self.placement.prompt_load.is_prefilling(server):
                 median_gap_ms = self.placement.selector.median_gap_ms(need.service)
                 condition.record_gap(now - last_event_ms, median_gap_ms, now)
             silence.record_event()
--- a/packages/ebonylb/src/ebonylb/batches/model.py
+++ b/packages/ebonylb/src/ebonylb/batches/model.py
@@ -50,6 +50,8 @@
         The caller's estimate of output tokens; 0 if there is none.
     scoring : ScoringRequest or None
         Request that scores the text; the item is complete only with its score.
+    prompt_tokens : int
+        Length of the prompt; 0 if it is unknown, as in rows of earlier versions.
     """
 
     item_id: str
@@ -61,6 +63,7 @@
     tokens: int = 0
     length_hint: int = 0
     scoring: ScoringRequest | None = None
+    prompt_tokens: int = 0
 
 
 class BatchHeader(msgspec.Struct, frozen=True):
--- a/packages/ebonylb/src/ebonylb/batches/placement.py
+++ b/packages/ebonylb/src/ebonylb/batches/placement.py
@@ -9,6 +9,7 @@
 
 from ..fleet import ListedServer, ServerDirectory, ServerSelector
 from ..interfaces import Clock
+from .prompt_load import PromptLoad
 
 logger = logging.getLogger(__name__)
 
@@ -59,6 +60,8 @@
         Group of items with the same prompt.
     avoid : str or None
         Name of the server that the item was moved away from or that failed it.
+    prompt_tokens : int
+        Length of the prompt; 0 if it is unknown.
     """
 
     service: str
@@ -71,6 +74,7 @@
     received_events: int = 0
     group: str = ""
     avoid: str | None = None
+    prompt_tokens: int = 0
 
     def server_criteria(self) -> tuple[object, ...]:
         """Return the fields that decide which servers may run the item."""
@@ -119,6 +123,7 @@
         self.arrival_numbers = itertools.count()
         self.group_servers: OrderedDict[str, str] = OrderedDict()
         self.timer: asyncio.TimerHandle | None = None
+        self.prompt_load = PromptLoad(clock)
         directory.subscribe(self.grant_servers)
 
     async def acquire(self, need: ItemRequirements) -> ListedServer:
@@ -128,7 +133,7 @@
             return await waiter.granted_server
         except asyncio.CancelledError:
             if waiter.granted_server.done() and not waiter.granted_server.cancelled():
-                self.release(waiter.granted_server.result())
+                self.release(waiter.granted_server.result(), need)
             elif waiter in self.waiters:
                 self.waiters.remove(waiter)
             raise
@@ -145,8 +150,12 @@
         self.grant_servers()
         return waiter
 
-    def release(self, server: ListedServer) -> None:
+    def release(
+        self, server: ListedServer, need: ItemRequirements | None = None
+    ) -> None:
         """Return a server's slot and serve waiting items."""
+        if need is not None:
+            self.prompt_load.end(need)
         condition = self.directory.condition(server.name)
         condition.own_requests = max(0, condition.own_requests - 1)
         self.grant_servers()
@@ -167,7 +176,10 @@
             forced = now - waiter.queued_ms > FORCE_AFTER_MS
             if self.is_restart_faster(waiter, now):
                 waiter.need.software_version = None
-            criteria = (forced, *waiter.need.server_criteria())
+            # The prompt of a group is cached on one server only.
+            is_long = self.prompt_load.may_be_long(waiter.need)
+            group = waiter.need.group if is_long else None
+            criteria = (forced, group, *waiter.need.server_criteria())
             server = (
                 None if criteria in unmet_criteria else self.choose(waiter.need, forced)
             )
@@ -177,6 +189,12 @@
                 continue
             self.directory.condition(server.name).own_requests += 1
             self.selector.limits.reserve(server)
+            self.prompt_load.begin(
+                server,
+                waiter.need,
+                self.has_cached_prompt(server, waiter.need),
+                self.selector.median_gap_ms(waiter.need.service),
+            )
             if waiter.need.group:
                 self.remember_group(waiter.need.group, server.name)
             waiter.granted_server.set_result(server)
@@ -187,7 +205,8 @@
             )
         if still_waiting and self.timer is None:
             loop = asyncio.get_running_loop()
-            self.timer = loop.call_later(RETRY_INTERVAL_MS / 1000, self.retry)
+            delay_ms = self.prompt_load.retry_ms(RETRY_INTERVAL_MS)
+            self.timer = loop.call_later(delay_ms / 1000, self.retry)
 
     def is_restart_faster(self, waiter: Waiter, now_ms: float) -> bool:
         """Return whether an item has waited for its software version for too long.
@@ -212,6 +231,10 @@
         if len(self.group_servers) > MAX_REMEMBERED_GROUPS:
             self.group_servers.popitem(last=False)
 
+    def has_cached_prompt(self, server: ListedServer, need: ItemRequirements) -> bool:
+        """Return whether a server was the last to process the prompt of the item."""
+        return bool(need.group) and self.group_servers.get(need.group) == server.name
+
     def fits(
         self, server: ListedServer, need: ItemRequirements, forced: bool = False
     ) -> bool:
@@ -273,8 +296,12 @@
                 ):
                     # A single item probes whether the server has recovered.
                     continue
+            cached = self.has_cached_prompt(server, need)
+            if not self.prompt_load.admits(server, need, cached, median_gap_ms):
+                continue
             cost = self.selector.engine_cost(server, median_gap_ms, length_share)
-            if need.group and self.group_servers.get(need.group) == server.name:
+            cost += self.prompt_load.extra_cost(server, need, cached, median_gap_ms)
+            if cached:
                 cost -= GROUP_AFFINITY_BONUS * (1 - length_share)
             if cost < best_cost:
                 best, best_cost = server, cost
@@ -319,4 +346,5 @@
             return False
         other_gap_ms = other_condition.expected_gap_ms(median_gap_ms, now)
         gain_ms = need.remaining_events * (gap_ms - other_gap_ms)
+        gain_ms -= self.prompt_load.move_cost_ms(other, need, median_gap_ms)
         return disturbed or gain_ms > MIN_MOVE_GAIN_MS
--- a/packages/ebonylb/src/ebonylb/platform/batch_wire.py
+++ b/packages/ebonylb/src/ebonylb/platform/batch_wire.py
@@ -51,6 +51,19 @@
     TargetGroups: int = 0
 
 
+def decode_prompt_tokens(usage: str | None, prefix: str | None) -> int:
+    """Return the length of a prompt from its headers; 0 if they don't state it.
+
+    `usage` states it. Otherwise, the prompt has at least the tokens of its known parts.
+    The total of `Tokens` is no help: it includes the maximum of the output.
+    """
+    tokens = parse_count((usage or "").partition(",")[0].strip())
+    if tokens is not None:
+        return tokens
+    parts = (part.rpartition(":")[2].strip() for part in (prefix or "").split(","))
+    return sum(parse_count(part) or 0 for part in parts)
+
+
 def decode_item(wire: WireItem, host: str) -> BatchItem:
     """Return the item of a wire item, with the given host in its headers."""
     if not wire.Path.startswith("/"):
@@ -68,6 +81,9 @@
         tokens=wire.Tokens,
         length_hint=parse_count(headers.get(wire_names.LENGTH_HINT)) or 0,
         scoring=wire.ScorerUrl and wire.ScorerUrl.decode(),
+        prompt_tokens=decode_prompt_tokens(
+            headers.get(wire_names.TOKEN_USAGE), headers.get(wire_names.PROMPT_PREFIX)
+        ),
     )
 
 
--- a/packages/ebonylb/src/ebonylb/platform/wire_names.py
+++ b/packages/ebonylb/src/ebonylb/platform/wire_names.py
@@ -16,6 +16,10 @@
 WAIT = "Ebonylb-Wait-Ms"
 LENGTH_HINT = "Ebonylb-Length-Hint"
 MODEL = "Ebonylb-Model"
+# Prompt tokens and maximum of output tokens: ``PROMPT,MAX_OUTPUT``.
+TOKEN_USAGE = "Ebonylb-Token-Usage"
+# Parts with which the prompt begins: ``ID:TOKENS,...``.
+PROMPT_PREFIX = "Ebonylb-Prompt-Prefix"
 LAST_EVENT = "Last-Event-Id"
 # Id of the caller's attempt that brought the first event of the stream it takes up.
 RESUMES = "Resumes"
--- a/packages/ebonylb_standins/src/ebonylb_standins/bench/long_prompts.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/bench/long_prompts.py
@@ -4,7 +4,7 @@
 chunked prefill. The output is a table of the time from the submission of a batch to the
 first event of each of its items, by prompt length.
 
-Run ``python -m ebonylb_standins.bench.long_prompts [PATTERN...]``.
+Run ``python -m ebonylb_standins.bench.long_prompts [--VARIANT] [PATTERN...]``.
 """
 
 import asyncio
@@ -17,6 +17,7 @@
 
 from ..histories.virtual_time import run_virtual
 from ..site.world import EntryVm, World
+from .long_prompt_variants import VARIANTS
 from .trial import quantile
 
 ENGINES = 6
@@ -42,10 +43,13 @@
         Seed of arrivals and lengths, which do not depend on the placement.
     prepare : callable
         Called with the entry VM before the first batch.
+    duration_ms : float
+        Time in which batches are submitted.
     """
 
     seed: int
     prepare: Callable[[EntryVm], None] = lambda vm: None
+    duration_ms: float = DURATION_MS
     world: World = field(init=False)
     vm: EntryVm = field(init=False)
     submitted_ms: dict[str, float] = field(default_factory=dict)
@@ -81,7 +85,7 @@
         """Submit groups with short prompts at random intervals."""
         rng = random.Random(self.seed)
         number = 0
-        while (now := self.world.clock.monotonic_ms()) < DURATION_MS:
+        while (now := self.world.clock.monotonic_ms()) < self.duration_ms:
             lengths = [self.draw_events(rng) for _ in range(GROUP_SIZE)]
             tokens = rng.randint(*SHORT_TOKENS)
             await self.submit(f"s{number}", lengths, tokens)
@@ -97,7 +101,7 @@
         """Submit `burst` groups with long prompts at regular intervals."""
         rng = random.Random(self.seed + 1_000)
         number = 0
-        while self.world.clock.monotonic_ms() < DURATION_MS:
+        while self.world.clock.monotonic_ms() < self.duration_ms:
             for _ in range(burst):
                 lengths = [self.draw_events(rng) for _ in range(samples)]
                 tokens = rng.choice(LONG_TOKENS)
@@ -200,6 +204,15 @@
     await asyncio.gather(trial.send_short(), trial.send_long(150), lose())
 
 
+def use_variant(name: str) -> Callable[[EntryVm], None]:
+    """Return a function that gives an entry VM another rule for long prompts."""
+
+    def prepare(vm: EntryVm) -> None:
+        vm.placement.prompt_load = VARIANTS[name](vm.placement.clock)
+
+    return prepare
+
+
 Pattern = Callable[[Trial], Awaitable[None]]
 PATTERNS: dict[str, Pattern] = {
     pattern.__name__: pattern
@@ -256,10 +269,15 @@
 
 
 def main(arguments: list[str]) -> None:
-    """Print the delays under each pattern, or under the named ones."""
+    """Print the delays under each pattern, or under the named ones.
+
+    An argument such as ``--baseline`` names one of the `VARIANTS`.
+    """
+    variants = [name for name in VARIANTS if f"--{name}" in arguments]
+    prepare = use_variant(variants[0] if variants else "chosen")
     names = [name for name in arguments if name in PATTERNS] or list(PATTERNS)
     for name in names:
-        figures = measure(PATTERNS[name])
+        figures = measure(PATTERNS[name], prepare=prepare)
         if "--json" in arguments:
             print(json.dumps({name: figures}))
             continue
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -306,6 +306,7 @@
                     group=group,
                     length_hint=events * 44,
                     scoring=self.scoring_request(item_id) if scored else None,
+                    prompt_tokens=prompt_tokens,
                 )
             )
         header_fields = {"model": "m", "min_version": 1, "step": 0} | header
