--- a/packages/ebonylb/src/ebonylb/batches/placement.py
+++ b/packages/ebonylb/src/ebonylb/batches/placement.py
@@ -5,9 +5,10 @@
 import itertools
 import logging
 from collections import Counter, OrderedDict
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from ..fleet import ListedServer, ServerDirectory, ServerSelector
+from ..fleet import ListedServer, ServerCost, ServerDirectory, ServerSelector
 from ..interfaces import Clock
 from .prompt_load import PromptLoad
 
@@ -268,45 +269,72 @@
         would wait there in order of arrival and not of priority, and hold up the items
         that are due first.
         """
-        now = self.clock.monotonic_ms()
         median_gap_ms = self.selector.median_gap_ms(need.service)
         length_share = self.length_share(need, median_gap_ms)
+        can_send = self.selector.limits.can_send
         best: ListedServer | None = None
         best_cost = float("inf")
         for server in self.directory.ready(need.service):
-            condition = self.directory.condition(server.name)
-            if not self.fits(server, need, forced):
-                continue
-            if condition.own_requests >= server.slots:
-                continue
-            if not self.selector.limits.can_send(server):
-                continue
-            if not forced:
-                if server.name == need.avoid or condition.is_backing_off(now):
-                    continue
-                if condition.model_refused_until_ms.get(need.model, 0) > now:
-                    continue
-                if condition.load(now) >= server.slots:
-                    continue
-                if condition.slowness(median_gap_ms, now) > SLOW_FACTOR:
-                    continue
-                if (
-                    condition.was_slow(median_gap_ms, SLOW_FACTOR)
-                    and condition.own_requests
-                ):
-                    # A single item probes whether the server has recovered.
-                    continue
-            cached = self.has_cached_prompt(server, need)
-            if not self.prompt_load.admits(server, need, cached, median_gap_ms):
+            if self.exclusion(server, need, forced, median_gap_ms, can_send):
                 continue
-            cost = self.selector.engine_cost(server, median_gap_ms, length_share)
-            cost += self.prompt_load.extra_cost(server, need, cached, median_gap_ms)
-            if cached:
-                cost -= GROUP_AFFINITY_BONUS * (1 - length_share)
+            cost = self.cost(server, need, median_gap_ms, length_share).total
             if cost < best_cost:
                 best, best_cost = server, cost
         return best
 
+    def exclusion(
+        self,
+        server: ListedServer,
+        need: ItemRequirements,
+        forced: bool,
+        median_gap_ms: float,
+        can_send: Callable[[ListedServer], bool],
+    ) -> str | None:
+        """Return what excludes a server from an item now; None if nothing does."""
+        now = self.clock.monotonic_ms()
+        condition = self.directory.condition(server.name)
+        if not self.fits(server, need, forced):
+            return "version"
+        if condition.own_requests >= server.slots:
+            return "full"
+        if not can_send(server):
+            return "limit"
+        if self.prompt_load.may_be_long(need) and not self.prompt_load.admits(
+            server, need, self.has_cached_prompt(server, need), median_gap_ms
+        ):
+            return "long prompts"
+        if forced:
+            return None
+        if server.name == need.avoid:
+            return "avoided"
+        if condition.is_backing_off(now):
+            return "backoff"
+        if condition.model_refused_until_ms.get(need.model, 0) > now:
+            return "refused the model"
+        if condition.load(now) >= server.slots:
+            return "full"
+        if condition.slowness(median_gap_ms, now) > SLOW_FACTOR:
+            return "slow"
+        if condition.was_slow(median_gap_ms, SLOW_FACTOR) and condition.own_requests:
+            return "slow"  # a single item probes whether the server has recovered
+        return None
+
+    def cost(
+        self,
+        server: ListedServer,
+        need: ItemRequirements,
+        median_gap_ms: float,
+        length_share: float,
+    ) -> ServerCost:
+        """Return the cost of a server for an item."""
+        cached = self.has_cached_prompt(server, need)
+        cost = self.selector.engine_cost(server, median_gap_ms, length_share)
+        bonus = GROUP_AFFINITY_BONUS * (1 - length_share) if cached else 0.0
+        extra = self.prompt_load.extra_cost(server, need, cached, median_gap_ms)
+        if bonus or extra:
+            return cost._replace(group=-bonus, long_prompt=extra)
+        return cost
+
     def length_share(self, need: ItemRequirements, median_gap_ms: float) -> float:
         """Return how long an item is relative to the time until it is due.
 
--- a/packages/ebonylb/src/ebonylb/batches/prompt_load.py
+++ b/packages/ebonylb/src/ebonylb/batches/prompt_load.py
@@ -166,9 +166,9 @@
 
     def is_long(self, server: ListedServer, tokens: int, gap_ms: float) -> bool:
         """Return whether an engine needs longer than a gap for this many tokens."""
-        return (
-            tokens >= MIN_LONG_TOKENS and tokens > self.tokens_per_ms(server) * gap_ms
-        )
+        if tokens < MIN_LONG_TOKENS:
+            return False
+        return tokens > self.tokens_per_ms(server) * gap_ms
 
     def may_be_long(self, need: PromptNeed) -> bool:
         """Return whether the prompt of an item may count as long on some engine."""
@@ -320,9 +320,12 @@
         The unit is that of `ServerSelector.engine_cost`: the time relative to the
         duration of the item, or of `MAX_COST_EVENTS` events if it is longer.
         """
+        has_long = bool(self.long_counts.get(need.service))
+        if need.prompt_tokens < MIN_LONG_TOKENS and not has_long:
+            return 0.0
         tokens = 0 if cached else need.prompt_tokens
         is_long = self.is_long(server, tokens, gap_ms)
-        if not is_long and not self.long_counts[need.service]:
+        if not is_long and not has_long:
             return 0.0
         own_ms = tokens / self.tokens_per_ms(server)
         wait_ms = self.pending_ms(server, gap_ms)
--- a/packages/ebonylb/src/ebonylb/fleet/__init__.py
+++ b/packages/ebonylb/src/ebonylb/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Listed backend servers, their observed condition, and the selection among them."""
 
 from .condition import ServerCondition
+from .cost import ServerCost
 from .departure_noting import DepartureNotingClient
 from .directory import ServerDirectory
 from .model import ListedServer, ServerStage
@@ -16,6 +17,7 @@
     "ReachabilityNotingClient",
     "SendingLimits",
     "ServerCondition",
+    "ServerCost",
     "ServerDirectory",
     "ServerReachability",
     "ServerSelector",
--- a/packages/ebonylb/src/ebonylb/fleet/selector.py
+++ b/packages/ebonylb/src/ebonylb/fleet/selector.py
@@ -2,10 +2,11 @@
 
 import random
 import statistics
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from ..interfaces import Clock
+from .cost import ServerCost
 from .directory import ServerDirectory
 from .model import ListedServer
 from .sending_limits import NoSendingLimits, SendingLimits
@@ -93,17 +94,20 @@
         self.limits = limits or NoSendingLimits()
         self.median_gaps: dict[str, MedianGap] = {}
 
-    def plain_cost_ms(self, server: ListedServer) -> float:
-        """Return the expected duration of a plain request on a server."""
+    def plain_cost(self, server: ListedServer) -> ServerCost:
+        """Return the expected duration of a plain request on a server, in ms."""
         now = self.clock.monotonic_ms()
         condition = self.directory.condition(server.name)
         duration_ms = condition.duration_ms or DEFAULT_DURATION_MS
         queue_factor = max(0.0, condition.load(now) + 1 - server.slots) / server.slots
         load_factor = condition.load(now) / server.slots
-        return (
-            duration_ms * (1 + queue_factor + 0.3 * load_factor)
-            + ROUND_TRIP_MS[distance_of(self.locality, server.failure_domain)]
-            + condition.decayed_failure_share(now) * FAILURE_COST_MS
+        distance = distance_of(self.locality, server.failure_domain)
+        return ServerCost(
+            duration=duration_ms,
+            queue=duration_ms * queue_factor,
+            load=duration_ms * 0.3 * load_factor,
+            distance=ROUND_TRIP_MS[distance],
+            failures=condition.decayed_failure_share(now) * FAILURE_COST_MS,
         )
 
     def choose_plain(
@@ -121,37 +125,61 @@
         backoff ends first is then returned. Of the others, those that would keep
         `spare_slots` free slots are preferred.
         """
-        now = self.clock.monotonic_ms()
         excluded = set(excluded)
         candidates = [
             s
             for s in self.directory.ready(service)
             if s.name not in excluded
-            and software_version in (None, s.software_version)
-            and self.limits.can_send(s)
-        ]
-        available = [
-            s
-            for s in candidates
-            if not self.directory.condition(s.name).is_backing_off(now)
+            and self.plain_exclusion(s, software_version, self.limits.can_send) is None
         ]
-        if spare_slots:
-            spared = [
-                s
-                for s in available
-                if self.directory.condition(s.name).load(now) + spare_slots < s.slots
-            ]
-            available = spared or available
-        if available:
-            return min(
-                available, key=lambda s: (self.plain_cost_ms(s), random.random())
-            )
+        preferred = self.preferred(candidates, spare_slots)
         return min(
-            candidates,
-            key=lambda s: self.directory.condition(s.name).backoff_until_ms,
+            preferred,
+            key=lambda s: (self.plain_cost(s).total, random.random()),
             default=None,
         )
 
+    def plain_exclusion(
+        self,
+        server: ListedServer,
+        software_version: str | None,
+        can_send: Callable[[ListedServer], bool],
+    ) -> str | None:
+        """Return what excludes a server from a plain request; None if nothing does.
+
+        Parameters
+        ----------
+        can_send : callable
+            Whether the limit of a server has room.
+        """
+        if software_version not in (None, server.software_version):
+            return "version"
+        return None if can_send(server) else "limit"
+
+    def preferred(
+        self, candidates: list[ListedServer], spare_slots: int = 0
+    ) -> list[ListedServer]:
+        """Return the candidates among which the cost decides.
+
+        These are the ones that are not in backoff, or else the one whose backoff ends
+        first; of them, those that would keep `spare_slots` free slots.
+        """
+        now = self.clock.monotonic_ms()
+        condition = self.directory.condition
+        available = [s for s in candidates if not condition(s.name).is_backing_off(now)]
+        if not available:
+            first = min(
+                candidates,
+                key=lambda s: condition(s.name).backoff_until_ms,
+                default=None,
+            )
+            return [first] if first is not None else []
+        if not spare_slots:
+            return available
+        return [
+            s for s in available if condition(s.name).load(now) + spare_slots < s.slots
+        ] or available
+
     def median_gap_ms(self, service: str) -> float:
         """Return the cached median gap between events over a service's servers."""
         now = self.clock.monotonic_ms()
@@ -161,6 +189,14 @@
             self.median_gaps[service] = cached
         return cached.gap_ms
 
+    def peek_median_gap_ms(self, service: str) -> float:
+        """Return what `median_gap_ms` would return, without a change of its cache."""
+        cached = self.median_gaps.get(service)
+        now = self.clock.monotonic_ms()
+        if cached is not None and now - cached.computed_ms < MEDIAN_GAP_TTL_MS:
+            return cached.gap_ms
+        return self.compute_median_gap_ms(service)
+
     def compute_median_gap_ms(self, service: str) -> float:
         """Compute the median gap between events over a service's servers."""
         gaps = [
@@ -174,7 +210,7 @@
 
     def engine_cost(
         self, server: ListedServer, median_gap_ms: float, length_share: float
-    ) -> float:
+    ) -> ServerCost:
         """Return the cost of one more stream on an engine.
 
         It is 1 for an idle engine in the same failure domain. A long stream should run
@@ -194,9 +230,11 @@
             condition.recent_slowness(median_gap_ms, now),
         )
         load_cost = LOAD_COST + length_share * (LONG_STREAM_LOAD_COST - LOAD_COST)
-        return (
-            (1 + length_share * (slowness - 1))
-            * (1 + load_cost * condition.load(now) / server.slots)
-            + ENGINE_DISTANCE_COST[distance_of(self.locality, server.failure_domain)]
-            + ENGINE_FAILURE_COST * condition.decayed_failure_share(now)
+        duration = 1 + length_share * (slowness - 1)
+        distance = distance_of(self.locality, server.failure_domain)
+        return ServerCost(
+            duration=duration,
+            load=duration * load_cost * condition.load(now) / server.slots,
+            distance=ENGINE_DISTANCE_COST[distance],
+            failures=ENGINE_FAILURE_COST * condition.decayed_failure_share(now),
         )
--- a/packages/ebonylb/src/ebonylb/fleet/sending_limits.py
+++ b/packages/ebonylb/src/ebonylb/fleet/sending_limits.py
@@ -22,6 +22,10 @@
     def can_send(self, server: ListedServer) -> bool:
         """Return whether a request may be sent to a server now."""
 
+    @abstractmethod
+    def would_accept(self, server: ListedServer) -> bool:
+        """Return what `can_send` would return, without a change of any state."""
+
     @abstractmethod
     def reserve(self, server: ListedServer) -> None:
         """Count a request that is about to be sent to a server."""
@@ -51,6 +55,10 @@
         """Return whether a request may be sent to a server now."""
         return True
 
+    def would_accept(self, server: ListedServer) -> bool:
+        """Return whether a request may be sent to a server now."""
+        return True
+
     def reserve(self, server: ListedServer) -> None:
         """Count a request that is about to be sent to a server."""
 
--- a/packages/ebonylb/src/ebonylb/forwarding/direct_pool.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/direct_pool.py
@@ -24,6 +24,7 @@
 FULL_RETRY_AFTER_MS = 300  # a server's queue advances within about this time
 # Least delay of a retry after the servers' limits were reached.
 MIN_LIMIT_RETRY_AFTER_MS = 50
+LIMIT_REASON = "server_limit"
 
 
 class DirectPool(ServerPool):
@@ -100,7 +101,14 @@
         )
 
     def refuse(self, state: RequestState) -> CallerResponse:
-        """Return the refusal of a request because no server is available.
+        """Return the refusal of a request because no server is available."""
+        response = self.find_refusal(state)
+        if response.refusal.reason == LIMIT_REASON:
+            self.record_unmet(state)
+        return response
+
+    def find_refusal(self, state: RequestState) -> CallerResponse:
+        """Return the refusal without a record of it.
 
         Another entry VM may have a share of the limits left, so that the caller may
         return as soon as the servers accept the next request.
@@ -114,11 +122,10 @@
                 NO_SERVER_RETRY_AFTER_MS,
             )
         if self.directory.ready(state.service):
-            self.record_unmet(state)
             retry_after_ms = self.selector.limits.retry_after_ms(state.service)
             return make_refusal(
                 outcome,
-                "server_limit",
+                LIMIT_REASON,
                 "the servers of this service accept no more requests now",
                 max(MIN_LIMIT_RETRY_AFTER_MS, round(retry_after_ms)),
             )
--- a/packages/ebonylb/src/ebonylb/limits/gate.py
+++ b/packages/ebonylb/src/ebonylb/limits/gate.py
@@ -1,5 +1,6 @@
 """Decision whether a limited server may be sent a request by this entry VM now."""
 
+import copy
 from collections import Counter
 from collections.abc import Mapping
 
@@ -68,6 +69,17 @@
             self.store_time.now_or_local_ms()
         )
 
+    def would_accept(self, server: ListedServer) -> bool:
+        """Return what `can_send` would return, without a change of any state."""
+        if self.registry.get(server.endpoint) is None:
+            return True
+        allowance = self.allowances.get(server.name)
+        if allowance is None:
+            allowance = Allowance(server.name, self.entry_vm)
+        allowance = copy.deepcopy(allowance)
+        self.refill(allowance, server.endpoint, server.service)
+        return allowance.has_request(self.store_time.now_or_local_ms())
+
     def reserve(self, server: ListedServer) -> None:
         """Count a request that is about to be sent to a server."""
         if not self.in_force:
@@ -114,20 +126,24 @@
         self, server: ServerAddress, service: str
     ) -> Allowance | None:
         """Return the current allowance for a server; None if it has no limit."""
-        limit = self.registry.get(server)
-        if limit is None:
+        if self.registry.get(server) is None:
             self.allowances.pop(server.name, None)
             return None
         allowance = self.allowances.get(server.name)
         if allowance is None:
             allowance = Allowance(server.name, self.entry_vm)
             self.allowances[server.name] = allowance
+        self.refill(allowance, server, service)
+        return allowance
+
+    def refill(self, allowance: Allowance, server: ServerAddress, service: str) -> None:
+        """Add what the limit of a server has allowed since the last call."""
+        limit = self.registry.get(server)
         now = self.store_time.now_or_local_ms()
-        if allowance.is_refill_due(now):
+        if limit is not None and allowance.is_refill_due(now):
             assert self.shares is not None
             shares = self.shares.slot_shares(service)
             allowance.refill(now, limit.requests_per_s, shares)
-        return allowance
 
     def record_unmet(self, service: str) -> None:
         """Record a request that no server of a service may be sent now."""
