--- a/packages/ebonyctl/src/ebonyctl/cli.py
+++ b/packages/ebonyctl/src/ebonyctl/cli.py
@@ -8,7 +8,7 @@
 
 import cappa
 
-from . import inspection, sheets, step_times, traces
+from . import inspection, placements, sheets, step_times, traces
 from .client import AdminClient
 from .exits import CommandError, ExitCode
 from .output import Output
@@ -208,16 +208,64 @@
 
 
 @cappa.command(
-    help="Show the decisions taken for a recent request.",
-    epilog="Example: ebonyctl explain r-5f0c2b7d9a1e4c38",
+    help="Show the decisions taken for a recent request, or where a request would be "
+    "placed now. For the latter give --host and --path, and with --endpoint the "
+    "metrics address of one entry VM; nothing is sent to servers.",
+    epilog="Example: ebonyctl explain r-5f0c2b7d9a1e4c38, or ebonyctl explain "
+    "--endpoint http://10.0.0.1:9464 --host site --path /ask/1",
 )
 @dataclass
 class Explain(OnlineCommand):
-    """Show the decisions on a request."""
+    """Show the decisions on a request, or the placement of one that is not sent."""
 
     request: Annotated[
         str, cappa.Arg(value_name="REQUEST", help="Id from the response.")
-    ]
+    ] = ""
+    host: Annotated[
+        str,
+        cappa.Arg(long=True, value_name="HOST", help="Host that selects the route."),
+    ] = ""
+    path: Annotated[
+        str,
+        cappa.Arg(long=True, value_name="PATH", help="Path that selects the route."),
+    ] = ""
+    customer: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            value_name="NAME",
+            help="Name of the customer; keys are not needed.",
+        ),
+    ] = ""
+    tokens: Annotated[
+        int, cappa.Arg(long=True, value_name="TOKENS", help="Prompt of a batch item.")
+    ] = 0
+    output_tokens: Annotated[
+        int,
+        cappa.Arg(long=True, value_name="TOKENS", help="Estimated output of an item."),
+    ] = 0
+    model: Annotated[
+        str, cappa.Arg(long=True, value_name="MODEL", help="Model of a batch item.")
+    ] = ""
+    min_version: Annotated[
+        int, cappa.Arg(long=True, value_name="VERSION", help="Oldest weight version.")
+    ] = 0
+    group: Annotated[
+        str, cappa.Arg(long=True, value_name="GROUP", help="Group of a batch item.")
+    ] = ""
+
+    @property
+    def is_placement(self) -> bool:
+        """Whether a placement is asked for, and not past decisions."""
+        return bool(self.host or self.path)
+
+    def explain_placement(self, output: Output, endpoints: Sequence[str]) -> None:
+        """Show where the request, or an item with its id, would be placed."""
+        if not (self.host and self.path):
+            raise CommandError(ExitCode.USAGE, "give both --host and --path")
+        question = asdict(self)
+        question["request_id"] = question.pop("request")
+        placements.explain(output, endpoints, question)
 
     async def run(self, client: AdminClient, output: Output) -> None:
         """Show the decisions."""
@@ -263,6 +311,14 @@
     ] = False
 
 
+def find_endpoints(options: Ebonyctl) -> list[str]:
+    """Return the endpoints of the options, or of the environment."""
+    environment_endpoints = os.environ.get("EBONYCTL_ENDPOINTS", "").split(",")
+    return options.endpoint or [
+        part.strip() for part in environment_endpoints if part.strip()
+    ]
+
+
 def create_client(options: Ebonyctl, output: Output) -> AdminClient:
     """Return a client for the endpoints and the token of the options.
 
@@ -273,10 +329,7 @@
     CommandError
         There is no endpoint, an endpoint is not a URL, or there is no token.
     """
-    environment_endpoints = os.environ.get("EBONYCTL_ENDPOINTS", "").split(",")
-    endpoints = options.endpoint or [
-        part.strip() for part in environment_endpoints if part.strip()
-    ]
+    endpoints = find_endpoints(options)
     if not endpoints:
         fix = "give --endpoint URL or set EBONYCTL_ENDPOINTS"
         raise CommandError(ExitCode.USAGE, f"no endpoint of an entry VM: {fix}")
@@ -301,6 +354,9 @@
     if isinstance(command, (Trace, Steps)):
         command.run(output)
         return
+    if isinstance(command, Explain) and not command.request:
+        message = "give the id of a request, or --host and --path"
+        raise CommandError(ExitCode.USAGE, message)
     async with create_client(options, output) as client, output.progress():
         await command.run(client, output)
 
@@ -310,8 +366,12 @@
     argv = None if arguments is None else list(arguments)
     options = cappa.parse(Ebonyctl, argv=argv, completion=False)
     output = Output(options.json)
+    command = options.command
     try:
-        asyncio.run(run(options, output))
+        if isinstance(command, Explain) and command.is_placement:
+            command.explain_placement(output, find_endpoints(options))
+        else:
+            asyncio.run(run(options, output))
     except CommandError as error:
         output.print_error(error)
         return int(error.code)
--- a/packages/ebonylb/src/ebonylb/batches/placement.py
+++ b/packages/ebonylb/src/ebonylb/batches/placement.py
@@ -141,16 +141,20 @@
 
     def enqueue(self, need: ItemRequirements) -> Waiter:
         """Add an item to the queue, and grant it a server at once if one is free."""
-        # The latest time to start: a long item goes before a short one that can wait.
-        start_ms = need.due_ms - need.remaining_events * self.selector.median_gap_ms(
-            need.service
-        )
+        start_ms = self.latest_start_ms(need, self.selector.median_gap_ms(need.service))
         sort_key = (start_ms, next(self.arrival_numbers))
         waiter = Waiter(sort_key, need, self.clock.monotonic_ms())
         bisect.insort(self.waiters, waiter, key=lambda w: w.sort_key)
         self.grant_servers()
         return waiter
 
+    def latest_start_ms(self, need: ItemRequirements, median_gap_ms: float) -> float:
+        """Return the latest time to start, in the order of which items are placed.
+
+        A long item goes before a short one that can wait.
+        """
+        return need.due_ms - need.remaining_events * median_gap_ms
+
     def release(
         self, server: ListedServer, need: ItemRequirements | None = None
     ) -> None:
--- a/packages/ebonylb/src/ebonylb/batches/service.py
+++ b/packages/ebonylb/src/ebonylb/batches/service.py
@@ -8,7 +8,7 @@
 from ..interfaces import Clock
 from ..outcomes import Outcome, Refusal, new_token
 from ..routes import RouteTable
-from .model import Batch, ItemResult, Progress
+from .model import Batch, BatchHeader, ItemResult, Progress
 from .ownership import BatchOwnership
 from .progress_view import BatchProgressView
 from .repository import BatchRepository
@@ -77,9 +77,9 @@
         batch_id = batch.header.batch_id
         if self.progress_view.get(batch_id) is not None:
             return None
-        route = self.routes.find_by_name(batch.header.route)
-        if self.ownership.leaving or route is None:
-            return STORE_UNREACHABLE
+        refusal = self.find_refusal(batch.header)
+        if refusal is not None:
+            return refusal
         holder, incarnation = self.ownership.holder_choice.choose_holder(batch.header)
         progress = Progress(
             batch.header,
@@ -102,6 +102,13 @@
             self.ownership.claiming_ids.discard(batch_id)
         return None
 
+    def find_refusal(self, header: BatchHeader) -> Refusal | None:
+        """Return the refusal of a new batch, before an attempt to store it."""
+        route = self.routes.find_by_name(header.route)
+        if self.ownership.leaving or route is None:
+            return STORE_UNREACHABLE
+        return None
+
     async def resolve_unclear_submission(
         self, batch: Batch, progress: Progress, error: Exception
     ) -> Refusal | None:
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -247,7 +247,9 @@
             self.clock,
             self.uploads,
         )
-        metrics_handler = MetricsHandler(self.metrics, self.read_gauges)
+        metrics_handler = MetricsHandler(
+            self.metrics, self.read_gauges, self.components.explainer.explain
+        )
         self.relay_handler = RelayHandler(self.components.relay_receiver.serve)
         for handler, address, max_bytes in (
             (ingress.handle, self.settings.caller_address, MAX_BODY_BYTES),
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -16,6 +16,7 @@
     ScoringQueue,
 )
 from ..batches.rows import PROGRESS_TABLE
+from ..explain import Explainer, ItemExplainer, RequestExplainer
 from ..fleet import (
     DepartureNotingClient,
     ReachabilityNotingClient,
@@ -174,6 +175,7 @@
         self.build_forwarder()
         self.build_orders()
         self.build_batches(row_bytes)
+        self.build_explainer()
 
     def build_limits(self) -> None:
         """Build the gate for limited servers and what it shares with other VMs."""
@@ -202,14 +204,14 @@
         """Build the forwarder of single requests."""
         clock, metrics = self.dependencies.clock, self.dependencies.metrics
         log = RequestLog(self.routes, clock, metrics)
-        direct_pool = DirectPool(
+        self.direct_pool = DirectPool(
             self.directory,
             self.selector,
             self.server_client,
             self.strikes,
             self.reachability,
         )
-        relay_pool = RelayPool(
+        self.relay_pool = RelayPool(
             self.identity.name,
             self.entry_vms,
             self.selector,
@@ -219,15 +221,15 @@
         )
         shared = (self.strikes, self.stream_origins, clock, metrics, log)
         runs = FailoverRuns(
-            RequestRuns(direct_pool, *shared),
-            RelayedRuns(relay_pool, *shared),
+            RequestRuns(self.direct_pool, *shared),
+            RelayedRuns(self.relay_pool, *shared),
             self.reachability,
             metrics,
         )
         self.forwarder = Forwarder(self.routes, runs, self.strikes, clock, log)
         # Runs without failover: a relayed request is never passed on again.
         self.relay_receiver = RelayReceiver(
-            RequestRuns(direct_pool, *shared),
+            RequestRuns(self.direct_pool, *shared),
             self.strikes,
             self.reachability,
             clock,
@@ -332,6 +334,22 @@
             self.batch_ownership, self.routes, self.progress_view, repository, clock
         )
 
+    def build_explainer(self) -> None:
+        """Build what explains placements to operators."""
+        clock = self.dependencies.clock
+        self.explainer = Explainer(
+            self.identity.name,
+            RequestExplainer(
+                self.forwarder,
+                self.direct_pool,
+                self.relay_pool,
+                self.stream_origins,
+                self.entry_vms,
+            ),
+            ItemExplainer(self.batch_service, self.placement, clock),
+            clock,
+        )
+
     def make_follower(
         self,
         table: str,
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -168,7 +168,7 @@
         self.order_leases, self.orders = duties.order_leases, duties.order_controller
         self.progress_view, self.batches = duties.progress_view, duties.batch_service
         self.ownership = duties.batch_ownership
-        self.placement = duties.placement
+        self.placement, self.explainer = duties.placement, duties.explainer
         self.reachability, self.entry_vms = duties.reachability, duties.entry_vms
         self.standby = duties.standby
         self.relay_receiver = duties.relay_receiver
