--- a/packages/ebonylb/src/ebonylb/batches/placement.py
+++ b/packages/ebonylb/src/ebonylb/batches/placement.py
@@ -192,17 +192,7 @@
                 unmet_criteria.add(criteria)
                 still_waiting.append(waiter)
                 continue
-            self.directory.condition(server.name).own_requests += 1
-            self.selector.limits.reserve(server)
-            self.prompt_load.begin(
-                server,
-                waiter.need,
-                self.has_cached_prompt(server, waiter.need),
-                self.selector.median_gap_ms(waiter.need.service),
-            )
-            if waiter.need.group:
-                self.remember_group(waiter.need.group, server.name)
-            waiter.granted_server.set_result(server)
+            self.grant(waiter, server)
         self.waiters = still_waiting
         if self.selector.limits.in_force:
             self.selector.limits.record_waiting(
@@ -213,6 +203,21 @@
             delay_ms = self.prompt_load.retry_ms(RETRY_INTERVAL_MS)
             self.timer = loop.call_later(delay_ms / 1000, self.retry)
 
+    def grant(self, waiter: Waiter, server: ListedServer) -> None:
+        """Assign a server to a waiting item."""
+        need = waiter.need
+        self.directory.condition(server.name).own_requests += 1
+        self.selector.limits.reserve(server)
+        self.prompt_load.begin(
+            server,
+            need,
+            self.has_cached_prompt(server, need),
+            self.selector.median_gap_ms(need.service),
+        )
+        if need.group:
+            self.remember_group(need.group, server.name)
+        waiter.granted_server.set_result(server)
+
     def is_restart_faster(self, waiter: Waiter, now_ms: float) -> bool:
         """Return whether an item has waited for its software version for too long.
 
--- a/packages/ebonylb/src/ebonylb/explain/items.py
+++ b/packages/ebonylb/src/ebonylb/explain/items.py
@@ -2,8 +2,8 @@
 
 from ..batches import BatchHeader, BatchItem, BatchService
 from ..batches.item_state import ItemState
-from ..batches.placement import ItemPlacement
-from ..fleet import ServerStage
+from ..batches.placement import ItemPlacement, ItemRequirements
+from ..fleet import ListedServer, ServerStage
 from ..interfaces import Clock
 from ..routes import Route
 from .model import Candidate, Explanation, Question, Verdict, make_candidate
@@ -36,16 +36,6 @@
         self, question: Question, route: Route, explanation: Explanation
     ) -> None:
         """Fill in whether a batch is accepted and where its only item would run."""
-        item = BatchItem(
-            question.request_id,
-            question.path,
-            (),
-            b"",
-            model=question.model,
-            group=question.group,
-            length_hint=question.output_tokens,
-            prompt_tokens=question.tokens,
-        )
         header = BatchHeader(
             question.request_id,
             route.name,
@@ -61,31 +51,56 @@
         ownership = self.batches.ownership
         explanation.holder = ownership.holder_choice.choose_holder(header)[0]
         due_ms = self.clock.monotonic_ms() + route.result_deadline_ms
-        need = ownership.runner.requirements_of(ItemState(item), header, route, due_ms)
+        need = ownership.runner.requirements_of(
+            ItemState(make_item(question)), header, route, due_ms
+        )
+        self.explain_need(need, explanation)
+
+    def explain_need(self, need: ItemRequirements, explanation: Explanation) -> None:
+        """Fill in where an item with these requirements would run."""
+        placement = self.placement
         explanation.service = need.service
-        gap_ms = self.placement.selector.peek_median_gap_ms(need.service)
-        length_share = self.placement.length_share(need, gap_ms)
-        would_accept = self.placement.selector.limits.would_accept
-        for server in self.placement.directory.servers.values():
+        gap_ms = placement.selector.peek_median_gap_ms(need.service)
+        length_share = placement.length_share(need, gap_ms)
+        for server in placement.directory.servers.values():
             if server.service != need.service:
                 continue
-            excluded = (
-                LEAVING
-                if server.stage is not ServerStage.READY
-                else self.placement.exclusion(server, need, False, gap_ms, would_accept)
-            )
-            cost = self.placement.cost(server, need, gap_ms, length_share)
+            excluded = self.exclusion(server, need, gap_ms)
+            cost = placement.cost(server, need, gap_ms, length_share)
             candidate = make_candidate(server, None if excluded else cost, excluded)
             explanation.candidates.append(candidate)
-        start_ms = self.placement.latest_start_ms(need, gap_ms)
+        start_ms = placement.latest_start_ms(need, gap_ms)
         explanation.items_ahead = sum(
             waiter.sort_key[0] <= start_ms and not waiter.granted_server.done()
-            for waiter in self.placement.waiters
+            for waiter in placement.waiters
         )
         best = cheapest(explanation.candidates)
         explanation.verdict = Verdict.WAITS if best is None else Verdict.SENT
         explanation.server = best and best.server
 
+    def exclusion(
+        self, server: ListedServer, need: ItemRequirements, gap_ms: float
+    ) -> str | None:
+        """Return what excludes a server; None if nothing does."""
+        if server.stage is not ServerStage.READY:
+            return LEAVING
+        would_accept = self.placement.selector.limits.would_accept
+        return self.placement.exclusion(server, need, False, gap_ms, would_accept)
+
+
+def make_item(question: Question) -> BatchItem:
+    """Return the item of a question."""
+    return BatchItem(
+        question.request_id,
+        question.path,
+        (),
+        b"",
+        model=question.model,
+        group=question.group,
+        length_hint=question.output_tokens,
+        prompt_tokens=question.tokens,
+    )
+
 
 def cheapest(candidates: list[Candidate]) -> Candidate | None:
     """Return the first candidate with the lowest cost; None if all are excluded."""
