--- a/packages/ebonylb/src/ebonylb/batches/item_attempt.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_attempt.py
@@ -294,7 +294,9 @@
                 )
             state.add_event(event.data, version or 0, server.software_version)
             need.software_version = state.software_version
-            if silence.has_events:
+            if not silence.has_events:
+                self.placement.prompt_load.record_first_event(need)
+            elif not self.placement.prompt_load.is_prefilling(server):
                 median_gap_ms = self.placement.selector.median_gap_ms(need.service)
                 condition.record_gap(now - last_event_ms, median_gap_ms, now)
             silence.record_event()
--- a/packages/ebonylb/src/ebonylb/batches/item_run.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_run.py
@@ -87,6 +87,7 @@
             min_version=header.min_version,
             group=item.group,
             route=header.route,
+            prompt_tokens=item.prompt_tokens,
         )
         if state.software_version is not None:
             if self.directory.has_ready_version(service, state.software_version):
@@ -188,7 +189,7 @@
                 avoid = server.name
                 self.record_broken_run(server, state, error)
             finally:
-                self.placement.release(server)
+                self.placement.release(server, need)
             if len(state.events) > events_before:
                 retry_ms = RETRY_MS
             else:
--- a/packages/ebonylb/src/ebonylb/batches/move_policy.py
+++ b/packages/ebonylb/src/ebonylb/batches/move_policy.py
@@ -63,10 +63,13 @@
         other_condition = self.directory.condition(other.name)
         if other_condition.recent_slowness(median_gap_ms, now) >= UNDISTURBED_FACTOR:
             return False
+        cost_ms = self.placement.prompt_load.move_cost_ms(other, need, median_gap_ms)
         if is_disturbed and not is_slow:
-            return need.remaining_events * median_gap_ms > MIN_MOVE_GAIN_MS
-        other_gap_ms = other_condition.expected_gap_ms(median_gap_ms, now)
-        return need.remaining_events * (gap_ms - other_gap_ms) > MIN_MOVE_GAIN_MS
+            gain_ms = need.remaining_events * median_gap_ms
+        else:
+            other_gap_ms = other_condition.expected_gap_ms(median_gap_ms, now)
+            gain_ms = need.remaining_events * (gap_ms - other_gap_ms)
+        return gain_ms - cost_ms > MIN_MOVE_GAIN_MS
 
     def find_target(
         self, server: ListedServer, need: ItemRequirements, median_gap_ms: float
--- a/packages/ebonylb/src/ebonylb/batches/placement.py
+++ b/packages/ebonylb/src/ebonylb/batches/placement.py
@@ -5,12 +5,13 @@
 import itertools
 import logging
 from collections import Counter, OrderedDict
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from ..fleet import ListedServer, ServerDirectory, ServerSelector
+from ..fleet import ListedServer, ServerCost, ServerDirectory, ServerSelector
 from ..interfaces import Clock
 from .holder_shares import NoSlotLimits, SlotLimits
+from .prompt_load import PromptLoad
 
 logger = logging.getLogger(__name__)
 
@@ -54,6 +55,8 @@
         Name of the server that the item was moved away from or that failed it.
     route : str
         Name of the batch's route, whose texts have similar lengths.
+    prompt_tokens : int
+        Length of the prompt; 0 if it is unknown.
     """
 
     service: str
@@ -67,6 +70,7 @@
     group: str = ""
     avoid: str | None = None
     route: str = ""
+    prompt_tokens: int = 0
 
     def server_criteria(self) -> tuple[object, ...]:
         """Return the fields that decide which servers may run the item."""
@@ -123,6 +127,7 @@
         self.arrival_numbers = itertools.count()
         self.group_servers: OrderedDict[str, str] = OrderedDict()
         self.timer: asyncio.TimerHandle | None = None
+        self.prompt_load = PromptLoad(clock)
         directory.subscribe(self.grant_servers)
 
     async def acquire(self, need: ItemRequirements) -> ListedServer:
@@ -132,25 +137,33 @@
             return await waiter.granted_server
         except asyncio.CancelledError:
             if waiter.granted_server.done() and not waiter.granted_server.cancelled():
-                self.release(waiter.granted_server.result())
+                self.release(waiter.granted_server.result(), need)
             elif waiter in self.waiters:
                 self.waiters.remove(waiter)
             raise
 
     def enqueue(self, need: ItemRequirements) -> Waiter:
         """Add an item to the queue, and grant it a server at once if one is free."""
-        # The latest time to start: a long item goes before a short one that can wait.
-        start_ms = need.due_ms - need.remaining_events * self.selector.median_gap_ms(
-            need.service
-        )
+        start_ms = self.latest_start_ms(need, self.selector.median_gap_ms(need.service))
         sort_key = (start_ms, next(self.arrival_numbers))
         waiter = Waiter(sort_key, need, self.clock.monotonic_ms())
         bisect.insort(self.waiters, waiter, key=lambda w: w.sort_key)
         self.grant_servers()
         return waiter
 
-    def release(self, server: ListedServer) -> None:
+    def latest_start_ms(self, need: ItemRequirements, median_gap_ms: float) -> float:
+        """Return the latest time to start, in the order of which items are placed.
+
+        A long item goes before a short one that can wait.
+        """
+        return need.due_ms - need.remaining_events * median_gap_ms
+
+    def release(
+        self, server: ListedServer, need: ItemRequirements | None = None
+    ) -> None:
         """Return a server's slot and serve waiting items."""
+        if need is not None:
+            self.prompt_load.end(need)
         condition = self.directory.condition(server.name)
         condition.own_requests = max(0, condition.own_requests - 1)
         self.grant_servers()
@@ -171,7 +184,10 @@
             forced = now - waiter.queued_ms > FORCE_AFTER_MS
             if self.is_restart_faster(waiter, now):
                 waiter.need.software_version = None
-            criteria = (forced, *waiter.need.server_criteria())
+            # The prompt of a group is cached on one server only.
+            is_long = self.prompt_load.may_be_long(waiter.need)
+            group = waiter.need.group if is_long else None
+            criteria = (forced, group, *waiter.need.server_criteria())
             server = (
                 None if criteria in unmet_criteria else self.choose(waiter.need, forced)
             )
@@ -179,11 +195,7 @@
                 unmet_criteria.add(criteria)
                 still_waiting.append(waiter)
                 continue
-            self.directory.condition(server.name).own_requests += 1
-            self.selector.limits.reserve(server)
-            if waiter.need.group:
-                self.remember_group(waiter.need.group, server.name)
-            waiter.granted_server.set_result(server)
+            self.grant(waiter, server)
         self.waiters = still_waiting
         if self.selector.limits.in_force:
             self.selector.limits.record_waiting(
@@ -191,7 +203,23 @@
             )
         if still_waiting and self.timer is None:
             loop = asyncio.get_running_loop()
-            self.timer = loop.call_later(RETRY_INTERVAL_MS / 1000, self.retry)
+            delay_ms = self.prompt_load.retry_ms(RETRY_INTERVAL_MS)
+            self.timer = loop.call_later(delay_ms / 1000, self.retry)
+
+    def grant(self, waiter: Waiter, server: ListedServer) -> None:
+        """Assign a server to a waiting item."""
+        need = waiter.need
+        self.directory.condition(server.name).own_requests += 1
+        self.selector.limits.reserve(server)
+        self.prompt_load.begin(
+            server,
+            need,
+            self.has_cached_prompt(server, need),
+            self.selector.median_gap_ms(need.service),
+        )
+        if need.group:
+            self.remember_group(need.group, server.name)
+        waiter.granted_server.set_result(server)
 
     def is_restart_faster(self, waiter: Waiter, now_ms: float) -> bool:
         """Return whether an item has waited for its software version for too long.
@@ -216,6 +244,10 @@
         if len(self.group_servers) > MAX_REMEMBERED_GROUPS:
             self.group_servers.popitem(last=False)
 
+    def has_cached_prompt(self, server: ListedServer, need: ItemRequirements) -> bool:
+        """Return whether a server was the last to process the prompt of the item."""
+        return bool(need.group) and self.group_servers.get(need.group) == server.name
+
     def fits(
         self, server: ListedServer, need: ItemRequirements, forced: bool = False
     ) -> bool:
@@ -255,41 +287,65 @@
         now = self.clock.monotonic_ms()
         median_gap_ms = self.selector.median_gap_ms(need.service)
         length_share = self.length_share(need, median_gap_ms)
-        limits = self.slot_limits.slots_by_engine(need.service)
-        if forced and limits is not None and self.is_share_unusable(need, limits):
-            limits = None
+        can_send = self.selector.limits.can_send
+        shares = self.slot_shares(need, forced)
         best: ListedServer | None = None
         best_cost = float("inf")
         for server in self.directory.ready(need.service):
-            if not self.fits(server, need, forced):
-                continue
-            share = None if limits is None else limits.get(server.name, 0)
-            if self.is_full(server, need, share, now, forced):
-                continue
-            if observed_only and not self.directory.condition(
-                server.name
-            ).has_recent_gap(now):
-                continue
-            if not self.selector.limits.can_send(server):
+            if self.exclusion(server, need, forced, median_gap_ms, can_send, shares):
                 continue
-            if not forced and self.is_unfavourable(server, need, median_gap_ms, now):
+            condition = self.directory.condition(server.name)
+            if observed_only and not condition.has_recent_gap(now):
                 continue
-            cost = self.selector.engine_cost(server, median_gap_ms, length_share)
-            if need.group and self.group_servers.get(need.group) == server.name:
-                cost -= GROUP_AFFINITY_BONUS * (1 - length_share)
+            cost = self.cost(server, need, median_gap_ms, length_share).total
             if cost < best_cost:
                 best, best_cost = server, cost
         return best
 
-    def is_full(
+    def slot_shares(
+        self, need: ItemRequirements, forced: bool
+    ) -> Mapping[str, int] | None:
+        """Return the slots of each server that an item may use; None if any."""
+        shares = self.slot_limits.slots_by_engine(need.service)
+        if forced and shares is not None and self.is_share_unusable(need, shares):
+            return None
+        return shares
+
+    def exclusion(
+        self,
+        server: ListedServer,
+        need: ItemRequirements,
+        forced: bool,
+        median_gap_ms: float,
+        can_send: Callable[[ListedServer], bool],
+        shares: Mapping[str, int] | None,
+    ) -> str | None:
+        """Return what excludes a server from an item now; None if nothing does."""
+        now = self.clock.monotonic_ms()
+        if not self.fits(server, need, forced):
+            return "version"
+        share = None if shares is None else shares.get(server.name, 0)
+        if reason := self.lack_of_room(server, need, share, now, forced):
+            return reason
+        if not can_send(server):
+            return "limit"
+        if self.prompt_load.may_be_long(need) and not self.prompt_load.admits(
+            server, need, self.has_cached_prompt(server, need), median_gap_ms
+        ):
+            return "long prompts"
+        if forced:
+            return None
+        return self.disadvantage(server, need, median_gap_ms, now)
+
+    def lack_of_room(
         self,
         server: ListedServer,
         need: ItemRequirements,
         share: int | None,
         now_ms: float,
         forced: bool,
-    ) -> bool:
-        """Return whether a server has no slot for another item of this entry VM.
+    ) -> str | None:
+        """Return why a server has no slot for another item of this entry VM, or None.
 
         Where shares are in force, what a report or refusal says of others matters only
         if they exceed their shares, as plain callers do, or holders whose shares have
@@ -303,17 +359,17 @@
         """
         condition = self.directory.condition(server.name)
         if condition.own_requests >= (server.slots if share is None else share):
-            return True
+            return "full" if share is None else "share"
         if share is None and forced:
-            return False
+            return None
         if condition.model_refused_until_ms.get(need.model, 0) > now_ms:
-            return True
+            return "refused the model"
         if share is not None and condition.was_refused(now_ms):
-            return True
-        return condition.load(now_ms) >= server.slots
+            return "full"
+        return "full" if condition.load(now_ms) >= server.slots else None
 
     def is_share_unusable(
-        self, need: ItemRequirements, limits: Mapping[str, int]
+        self, need: ItemRequirements, shares: Mapping[str, int]
     ) -> bool:
         """Return whether this entry VM has shares only on servers that do not fit.
 
@@ -322,26 +378,44 @@
         own_requests = 0
         for server in self.directory.ready(need.service):
             own_requests += self.directory.condition(server.name).own_requests
-            if limits.get(server.name) and self.fits(server, need, forced=True):
+            if shares.get(server.name) and self.fits(server, need, forced=True):
                 return False
-        return own_requests < sum(limits.values())
+        return own_requests < sum(shares.values())
 
-    def is_unfavourable(
+    def disadvantage(
         self,
         server: ListedServer,
         need: ItemRequirements,
         median_gap_ms: float,
         now_ms: float,
-    ) -> bool:
-        """Return whether an item should rather wait than go to a server."""
+    ) -> str | None:
+        """Return why an item should rather wait than go to a server, or None."""
         condition = self.directory.condition(server.name)
-        if server.name == need.avoid or condition.is_backing_off(now_ms):
-            return True
+        if server.name == need.avoid:
+            return "avoided"
+        if condition.is_backing_off(now_ms):
+            return "backoff"
         if condition.slowness(median_gap_ms, now_ms) > SLOW_FACTOR:
-            return True
-        # A single item probes whether the server has recovered.
-        was_slow = condition.was_slow(median_gap_ms, SLOW_FACTOR)
-        return was_slow and condition.own_requests > 0
+            return "slow"
+        if condition.was_slow(median_gap_ms, SLOW_FACTOR) and condition.own_requests:
+            return "slow"  # a single item probes whether the server has recovered
+        return None
+
+    def cost(
+        self,
+        server: ListedServer,
+        need: ItemRequirements,
+        median_gap_ms: float,
+        length_share: float,
+    ) -> ServerCost:
+        """Return the cost of a server for an item."""
+        cached = self.has_cached_prompt(server, need)
+        cost = self.selector.engine_cost(server, median_gap_ms, length_share)
+        bonus = GROUP_AFFINITY_BONUS * (1 - length_share) if cached else 0.0
+        extra = self.prompt_load.extra_cost(server, need, cached, median_gap_ms)
+        if bonus or extra:
+            return cost._replace(group=-bonus, long_prompt=extra)
+        return cost
 
     def length_share(self, need: ItemRequirements, median_gap_ms: float) -> float:
         """Return how long an item is relative to the time until it is due.
--- a/packages/ebonylb/src/ebonylb/batches/service.py
+++ b/packages/ebonylb/src/ebonylb/batches/service.py
@@ -9,7 +9,7 @@
 from ..interfaces import Clock
 from ..outcomes import Outcome, Refusal, new_token
 from ..routes import RouteTable
-from .model import Batch, ItemResult, Progress
+from .model import Batch, BatchHeader, ItemResult, Progress
 from .ownership import BatchOwnership
 from .progress_view import BatchProgressView
 from .repository import BatchRepository
@@ -81,9 +81,9 @@
         batch_id = batch.header.batch_id
         if self.progress_view.get(batch_id) is not None:
             return await self.check_access(batch_id, access)
-        route = self.routes.find_by_name(batch.header.route)
-        if self.ownership.leaving or route is None:
-            return STORE_UNREACHABLE
+        refusal = self.find_refusal(batch.header)
+        if refusal is not None:
+            return refusal
         holder, incarnation = self.ownership.holder_choice.choose_holder(batch.header)
         progress = Progress(
             batch.header,
@@ -123,6 +123,13 @@
             return None
         return UNKNOWN_BATCH
 
+    def find_refusal(self, header: BatchHeader) -> Refusal | None:
+        """Return the refusal of a new batch, before an attempt to store it."""
+        route = self.routes.find_by_name(header.route)
+        if self.ownership.leaving or route is None:
+            return STORE_UNREACHABLE
+        return None
+
     async def resolve_unclear_submission(
         self, batch: Batch, progress: Progress, error: Exception, access: BatchAccess
     ) -> Refusal | None:
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -266,7 +266,9 @@
             self.uploads,
             self.components.key_check,
         )
-        metrics_handler = MetricsHandler(self.metrics, self.read_gauges)
+        metrics_handler = MetricsHandler(
+            self.metrics, self.read_gauges, self.components.explainer.explain
+        )
         self.relay_handler = RelayHandler(self.components.relay_receiver.serve)
         for handler, address, max_bytes in (
             (ingress.handle, self.settings.caller_address, MAX_BODY_BYTES),
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -18,6 +18,7 @@
 )
 from ..batches.rows import PROGRESS_TABLE
 from ..customers import KeyCheck, RevocationBound
+from ..explain import Explainer, ItemExplainer, RequestExplainer
 from ..fleet import (
     DepartureNotingClient,
     ReachabilityNotingClient,
@@ -149,6 +150,7 @@
         self.build_forwarder()
         self.build_orders()
         self.build_batches(row_bytes)
+        self.build_explainer()
         self.scaling = self.build_scaling(duty_plan)
         self.duties = self.build_duties(duty_plan)
 
@@ -179,14 +181,14 @@
         """Build the forwarder of single requests."""
         clock, metrics = self.dependencies.clock, self.dependencies.metrics
         log = RequestLog(self.routes, clock, metrics)
-        direct_pool = self.direct_pool = CountingPool(
+        self.direct_pool = CountingPool(
             self.directory,
             self.selector,
             self.server_client,
             self.strikes,
             self.reachability,
         )
-        relay_pool = RelayPool(
+        self.relay_pool = RelayPool(
             self.identity.name,
             self.entry_vms,
             self.selector,
@@ -196,15 +198,15 @@
         )
         shared = (self.strikes, self.stream_origins, clock, metrics, log)
         runs = FailoverRuns(
-            RequestRuns(direct_pool, *shared),
-            RelayedRuns(relay_pool, *shared),
+            RequestRuns(self.direct_pool, *shared),
+            RelayedRuns(self.relay_pool, *shared),
             self.reachability,
             metrics,
         )
         self.forwarder = Forwarder(self.routes, runs, self.strikes, clock, log)
         # Runs without failover: a relayed request is never passed on again.
         self.relay_receiver = RelayReceiver(
-            RequestRuns(direct_pool, *shared),
+            RequestRuns(self.direct_pool, *shared),
             self.strikes,
             self.reachability,
             clock,
@@ -363,6 +365,22 @@
             self.direct_pool.usage = duties.usage.counter
         return duties
 
+    def build_explainer(self) -> None:
+        """Build what explains placements to operators."""
+        clock = self.dependencies.clock
+        self.explainer = Explainer(
+            self.identity.name,
+            RequestExplainer(
+                self.forwarder,
+                self.direct_pool,
+                self.relay_pool,
+                self.stream_origins,
+                self.entry_vms,
+            ),
+            ItemExplainer(self.batch_service, self.placement, clock),
+            clock,
+        )
+
     def make_follower(
         self,
         table: str,
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -39,6 +39,7 @@
 from ..histories.virtual_time import LoopClock
 from .control_plane import FakeControlPlane, FakeControlPlaneClient
 from .cut_path import CutPath
+from .prefill import ChunkedPrefill
 from .recorded_port import RecordedPort
 from .relay_path import LocalRelayClient
 from .row_store import MemoryRowStore, StoreData
@@ -221,7 +222,7 @@
         self.order_leases, self.orders = duties.order_leases, duties.order_controller
         self.progress_view, self.batches = duties.progress_view, duties.batch_service
         self.ownership = duties.batch_ownership
-        self.placement = duties.placement
+        self.placement, self.explainer = duties.placement, duties.explainer
         self.reachability, self.entry_vms = duties.reachability, duties.entry_vms
         self.standby = duties.standby
         self.relay_receiver = duties.relay_receiver
@@ -278,6 +279,8 @@
         Duties of the entry VMs towards the platform.
     wall_errors_ms : dict of str to float or None
         How far the wall clocks of entry VMs are ahead of true time when they start.
+    prefill_tokens_per_ms : float or None
+        Speed at which engines process prompts; None for engines without prefill.
     bounds : dict of str to float or bool
         Further bounds of the entry VMs.
 
@@ -299,6 +302,7 @@
         lease_ms: float = 3_000,
         duties: tuple[str, ...] = (),
         wall_errors_ms: dict[str, float] | None = None,
+        prefill_tokens_per_ms: float | None = None,
         **bounds: float | bool,
     ) -> None:
         self.clock = LoopClock()
@@ -324,6 +328,10 @@
         self.domains: dict[str, str] = {}
         for number in range(engines):
             self.add_server(f"e{number}", ENGINE_SERVICE, 16, domains[number % 3])
+            if prefill_tokens_per_ms is not None:
+                self.port.servers[f"e{number}"].prefill = ChunkedPrefill(
+                    self.clock, prefill_tokens_per_ms
+                )
         for number in range(plain_services):
             self.add_server(f"p{number}", PLAIN_SERVICE, 6, domains[number % 3])
 
@@ -392,17 +400,24 @@
         lengths: list[int],
         group_size: int = 4,
         scored: bool = False,
+        prompt_tokens: int = 0,
         **header,
     ) -> Batch:
         """Return a batch with one item per entry of `lengths`, in events.
 
         If `scored`, each item has a scoring request, whose id is that of the item with
-        the prefix ``score-``. `header` overrides fields of the batch header.
+        the prefix ``score-``. With `prompt_tokens`, each group has its own prompt of
+        that length. `header` overrides fields of the batch header.
         """
         items = []
         for number, events in enumerate(lengths):
             item_id = f"{batch_id}-{number}"
-            self.port.planned_responses[item_id] = PlannedResponse(events)
+            group = f"g{number // group_size}"
+            if prompt_tokens:
+                group = f"{batch_id}/{group}"
+            self.port.planned_responses[item_id] = PlannedResponse(
+                events, prompt_tokens=prompt_tokens, prompt=group
+            )
             items.append(
                 BatchItem(
                     item_id,
@@ -410,9 +425,10 @@
                     (("Host", "site"),),
                     b"body " + item_id.encode(),
                     model="m",
-                    group=f"g{number // group_size}",
+                    group=group,
                     length_hint=events * 44,
                     scoring=self.scoring_request(item_id) if scored else None,
+                    prompt_tokens=prompt_tokens,
                 )
             )
         header_fields = {"model": "m", "min_version": 1, "step": 0} | header
