--- a/packages/ebonylb/src/ebonylb/usage/agreed_time.py
+++ b/packages/ebonylb/src/ebonylb/usage/agreed_time.py
@@ -13,6 +13,9 @@
 MAX_DRIFT_MS = 100.0
 # The offsets of the others change once a minute.
 UPDATE_INTERVAL_MS = 1_000.0
+# Entry VMs that start together know each other's wall clocks after this time: each one
+# writes its row at once and follows the others' rows.
+SETTLE_MS = 1_500.0
 
 
 def agree_offset(offsets: Sequence[float], preferred: float) -> float:
@@ -45,6 +48,8 @@
         Offset of this entry VM at its start, followed through drift but not jumps.
     offset_ms : float or None
         Agreed offset; None before the first response of the store.
+    began_ms : float or None
+        Monotonic time of the first update with a response of the store.
     """
 
     def __init__(
@@ -61,6 +66,13 @@
         self.own_offset_ms: float | None = None
         self.offset_ms: float | None = None
         self.updated_ms = -1e12
+        self.began_ms: float | None = None
+
+    def is_settled(self) -> bool:
+        """Return whether the clocks of the other entry VMs should be known."""
+        self.update()
+        now = self.clock.monotonic_ms()
+        return self.began_ms is not None and now - self.began_ms >= SETTLE_MS
 
     def observe_offset(self) -> float | None:
         """Return the offset of this entry VM's wall clock now, to tell the others."""
@@ -75,7 +87,10 @@
         observed_ms = self.observe_offset()
         if observed_ms is None:
             return None
-        self.updated_ms = now
+        if self.began_ms is None:
+            self.began_ms = now
+        if now - self.began_ms >= SETTLE_MS:
+            self.updated_ms = now
         own_ms = self.own_offset_ms
         if own_ms is None or abs(observed_ms - own_ms) <= MAX_DRIFT_MS:
             self.own_offset_ms = own_ms = observed_ms
--- a/packages/ebonylb/src/ebonylb/usage/attempts.py
+++ b/packages/ebonylb/src/ebonylb/usage/attempts.py
@@ -51,6 +51,13 @@
         Translates times.
     clock : Clock
         Source of time.
+
+    Attributes
+    ----------
+    open_attempts : set of OpenAttempt
+        Attempts without an outcome that are not counted yet.
+    unsettled : list of OpenAttempt
+        Attempts to count once the true time is settled.
     """
 
     def __init__(
@@ -60,6 +67,7 @@
         self.agreed_time = agreed_time
         self.clock = clock
         self.open_attempts: set[OpenAttempt] = set()
+        self.unsettled: list[OpenAttempt] = []
 
     def start(self, request: ServerRequest, round_trip_ms: float) -> OpenAttempt:
         """Return the attempt to send a request now."""
@@ -74,6 +82,18 @@
             return
         self.open_attempts.discard(attempt)
         if begun:
+            self.unsettled.append(attempt)
+            self.count_settled()
+
+    def count_settled(self) -> None:
+        """Count what has begun, if its true time is known."""
+        if self.agreed_time.is_settled():
+            self.count_begun()
+
+    def count_begun(self) -> None:
+        """Count what has begun, by the true time as far as it is known."""
+        begun, self.unsettled = self.unsettled, []
+        for attempt in begun:
             self.count(attempt)
 
     def count(self, attempt: OpenAttempt) -> None:
@@ -89,8 +109,8 @@
         before_ms = self.clock.monotonic_ms() - ASSUMED_BEGUN_MS
         for attempt in list(self.open_attempts):
             if attempt.begun_ms <= before_ms and attempt.request.progress.connected:
-                self.open_attempts.discard(attempt)
-                self.count(attempt)
+                self.end(attempt, begun=True)
+        self.count_settled()
 
 
 class CountingPool(DirectPool):
--- a/packages/ebonylb/src/ebonylb/usage/count_rows.py
+++ b/packages/ebonylb/src/ebonylb/usage/count_rows.py
@@ -97,6 +97,7 @@
         """Store what is left before the process ends."""
         for attempt in list(self.counter.open_attempts):
             self.counter.end(attempt, attempt.request.progress.connected)
+        self.counter.count_begun()
         await self.write_changed()
 
     def unstored(self, window: int) -> int:
--- a/packages/ebonylb/src/ebonylb/usage/reporter.py
+++ b/packages/ebonylb/src/ebonylb/usage/reporter.py
@@ -9,7 +9,7 @@
 from ..interfaces import Clock, Metrics
 from ..interfaces.control_plane import CallOutcome, ControlPlane, DutyAuthority
 from ..outcomes import StepError
-from .agreed_time import AgreedTime
+from .agreed_time import SETTLE_MS, AgreedTime
 from .count_table import CountTable
 from .report_table import ReportState, ReportTable, StoredProgress, StoredReport
 from .window_counts import WindowCounts
@@ -28,9 +28,6 @@
 # Rows of windows that nobody reported are searched for after this many reports.
 CLEANING_INTERVAL = 12
 START_RETRY_MS = 500.0
-# Entry VMs that start together know each other's wall clocks after this time: each one
-# writes its row at once and follows the others' rows.
-CLOCKS_KNOWN_MS = 1_500.0
 
 
 class UsageReporter(Duty, DutySource):
@@ -100,7 +97,7 @@
         To be called once the rows of the reports have been read.
         """
         started_ms = self.clock.monotonic_ms()
-        await self.clock.sleep_ms(CLOCKS_KNOWN_MS + self.start_delay_ms())
+        await self.clock.sleep_ms(SETTLE_MS + self.start_delay_ms())
         true_start_ms = self.agreed_time.true_ms(started_ms)
         first_window = self.windows.window_of(true_start_ms) + 1
         while self.reports.progress is None:
--- a/packages/ebonylb/tests/test_usage.py
+++ b/packages/ebonylb/tests/test_usage.py
@@ -11,6 +11,7 @@
 from ebonylb.fleet.selector import ROUND_TRIP_MS
 from ebonylb.forwarding import CallerRequest
 from ebonylb.interfaces.control_plane import CallOutcome
+from ebonylb.leases import claim_delay_ms
 from ebonylb.limits.shares import EntryVmRow, encode_row, row_decoder
 from ebonylb.storage.store_time import StoreTime
 from ebonylb.usage import AgreedTime, WindowCounts
@@ -105,9 +106,11 @@
 class Load:
     """Requests of two customers at random entry VMs of a site."""
 
-    def __init__(self, entry_vms=3, duties=("usage_report",), **world):
+    def __init__(self, entry_vms=3, duties=("usage_report",), delay_ms=4.0, **world):
         self.world = World(duties=duties, **world)
         self.vms = [self.world.start(f"vm-{n}") for n in range(entry_vms)]
+        for vm in self.vms:
+            vm.store.faults.delay_ms = delay_ms
         self.customers = {}
         self.tasks = set()
 
@@ -413,13 +416,18 @@
 
     @pytest.mark.parametrize("error_ms", [-9_000.0, 9_000.0])
     def test_the_first_window_is_named_by_true_time(self, error_ms):
-        """Guards against a wrong wall clock that decides where the reports begin."""
+        """Guards against a wrong wall clock that decides where the reports begin.
+
+        The entry VM with this clock is the first one that could name the window.
+        """
 
         async def scenario(load):
             await load.run(17)
             load.check()
 
-        run(scenario, wall_errors_ms={"vm-0": error_ms})
+        names = ("vm-0", "vm-1", "vm-2")
+        first = min(names, key=lambda name: claim_delay_ms("usage", name, 5))
+        run(scenario, delay_ms=80.0, wall_errors_ms={first: error_ms})
 
     def test_all_entry_vms_restart(self):
         """Guards against windows that are skipped, or sent with other counts."""
