--- a/packages/ebonylb/src/ebonylb/service/duty_components.py
+++ b/packages/ebonylb/src/ebonylb/service/duty_components.py
@@ -79,6 +79,21 @@
     return clock.monotonic_ms() - follower.healthy_since_ms
 
 
+def follow_reports(
+    dependencies: DutyDependencies, reports: ReportTable
+) -> TableFollower:
+    """Return the follower of the reports of all entry VMs."""
+    return TableFollower(
+        dependencies.store,
+        dependencies.clock,
+        REPORTS_TABLE,
+        reports,
+        dependencies.store_time,
+        lambda: REPORTS_FEED_PAUSE_MS,
+        wait_ms=REPORTS_FEED_WAIT_MS,
+    )
+
+
 class UsageComponents:
     """Counts of this entry VM, and the reports of all."""
 
@@ -92,15 +107,7 @@
         self.counts = WindowCounts(bounds.report_window_ms)
         self.counter = UsageCounter(self.counts, self.agreed_time, clock)
         self.reports = ReportTable(store)
-        self.follower = TableFollower(
-            store,
-            clock,
-            REPORTS_TABLE,
-            self.reports,
-            dependencies.store_time,
-            lambda: REPORTS_FEED_PAUSE_MS,
-            wait_ms=REPORTS_FEED_WAIT_MS,
-        )
+        self.follower = follow_reports(dependencies, self.reports)
         self.reporter = UsageReporter(
             dependencies.control_plane,
             self.reports,
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -112,16 +112,7 @@
         relay_session = await self.open_session(trace_connections())
         self.store = PlatformRowStore(store_session, self.settings.store_address)
         self.server_client = HttpServerClient(server_session)
-        locality = Locality(
-            self.settings.failure_domain, self.settings.region, self.settings.regions
-        )
-        self.components = SiteComponents(
-            EntryVmIdentity(
-                self.settings.name,
-                self.incarnation,
-                locality,
-                self.settings.relay_address,
-            ),
+        self.components = self.build_components(
             SiteDependencies(
                 self.store,
                 self.server_client,
@@ -130,10 +121,7 @@
                 self.clock,
                 self.metrics,
                 await self.open_control_plane(),
-            ),
-            self.settings.bounds,
-            self.settings.row_bytes,
-            DutyPlan(self.settings.duties, self.settings.duty_calls_per_s),
+            )
         )
         self.readiness = Readiness(self.components.routes, self.clock)
         self.readiness.standby = self.components.standby
@@ -156,6 +144,20 @@
             },
         )
 
+    def build_components(self, dependencies: SiteDependencies) -> SiteComponents:
+        """Return the components that the settings describe."""
+        settings = self.settings
+        locality = Locality(settings.failure_domain, settings.region, settings.regions)
+        return SiteComponents(
+            EntryVmIdentity(
+                settings.name, self.incarnation, locality, settings.relay_address
+            ),
+            dependencies,
+            settings.bounds,
+            settings.row_bytes,
+            DutyPlan(settings.duties, settings.duty_calls_per_s),
+        )
+
     def start_background_tasks(self, tasks: dict[str, BackgroundTask]) -> None:
         """Start tasks that are restarted if they fail."""
         for name, run in tasks.items():
--- a/packages/ebonylb/src/ebonylb/usage/count_rows.py
+++ b/packages/ebonylb/src/ebonylb/usage/count_rows.py
@@ -112,8 +112,8 @@
         for window in sorted(self.counts.counts):
             if self.counts.end_ms(window) + self.kept_ms < now:
                 self.forget(window)
-            elif self.unstored(window) and not await self.write(window):
-                return
+            elif self.unstored(window):
+                await self.write(window)
 
     def forget(self, window: int) -> None:
         """Forget a window whose counts are not summed any more."""
@@ -130,8 +130,8 @@
                 extra={"window": window, "requests": lost, "cause": cause},
             )
 
-    async def write(self, window: int) -> bool:
-        """Store the counts of a window; return whether the store has answered.
+    async def write(self, window: int) -> None:
+        """Store the counts of a window.
 
         The counts include all before, so that a write without an answer is repeated
         safely. A write that the store applies late never replaces a newer row.
@@ -147,7 +147,7 @@
                 "usage counts not stored",
                 extra={"window": window, "cause": str(sent.err_value)},
             )
-            return False
+            return
         if not isinstance(sent.ok_value, Mismatch):
             stored.version, stored.counts = sent.ok_value.version, counts
         elif sent.ok_value.rows:
@@ -159,4 +159,3 @@
             # The row was deleted after the sum was reported.
             self.record_lost(window, "the window is reported")
             stored.counts = counts
-        return True
