--- a/packages/ebonylb_standins/src/ebonylb_standins/site/cuttable_site.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/cuttable_site.py
@@ -29,17 +29,25 @@
             self.reset_connections(1.0)
         if state is PathState.HANG:
             self.faults.silent_upstream = self.faults.silent_downstream = True
+        reserved = self.reserve_port()
         if state is not PathState.REFUSE:
-            self.hang_new_connections()
+            self.hang_new_connections(reserved)
 
-    def hang_new_connections(self) -> None:
-        """Listen with a full queue, so that the kernel drops further connections."""
+    def reserve_port(self) -> socket.socket:
+        """Keep the port, which another process could get otherwise, without listening.
+
+        The kernel refuses connections to a bound port that nobody listens on.
+        """
         host, port = self.address.rsplit(":", 1)
-        listener = self.blocked.enter_context(socket.socket())
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((host, int(port)))
-        listener.listen(0)
-        self.blocked.enter_context(socket.create_connection((host, int(port))))
+        reserved = self.blocked.enter_context(socket.socket())
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.bind((host, int(port)))
+        return reserved
+
+    def hang_new_connections(self, reserved: socket.socket) -> None:
+        """Listen with a full queue, so that the kernel drops further connections."""
+        reserved.listen(0)
+        self.blocked.enter_context(socket.create_connection(reserved.getsockname()))
 
     async def heal(self) -> None:
         """Accept connections again; silent ones have lost bytes and are reset."""
--- a/packages/ebonylb_standins/tests/test_site.py
+++ b/packages/ebonylb_standins/tests/test_site.py
@@ -3,7 +3,9 @@
 import asyncio
 import json
 import os
+import random
 import signal
+import socket
 import sys
 from collections import Counter
 
@@ -11,7 +13,7 @@
 import pytest
 
 from ebonylb_standins.site.cut_path import PathState
-from ebonylb_standins.site.cuttable_site import CuttableSite
+from ebonylb_standins.site.cuttable_site import CuttableProxy, CuttableSite
 from ebonylb_standins.site.http_servers import event_text
 from ebonylb_standins.site.http_site import (
     DESK,
@@ -595,3 +597,32 @@
         )
         assert judgement.is_broken == breaks_rule
         assert (max(runs.values()) > 1) == (not breaks_rule)
+
+
+class TestCuttableProxy:
+    """Guards against a path that cannot heal because its port was taken meanwhile.
+
+    Seen once: a proxy that refused connections had given its port back to the kernel,
+    and another test process got it.
+    """
+
+    @pytest.mark.parametrize("state", [PathState.REFUSE, PathState.HANG])
+    def test_the_port_of_a_cut_path_is_kept(self, state):
+        async def scenario():
+            target = await asyncio.start_server(lambda r, w: w.close(), "127.0.0.1", 0)
+            host, port = target.sockets[0].getsockname()
+            proxy = await CuttableProxy(f"{host}:{port}", random.Random(1)).start()
+            host, port = proxy.address.rsplit(":", 1)
+            await proxy.cut(state)
+            with socket.socket() as other, pytest.raises(OSError):
+                other.bind((host, int(port)))
+            if state is PathState.REFUSE:
+                with pytest.raises(ConnectionRefusedError):
+                    await asyncio.open_connection(host, int(port))
+            await proxy.heal()
+            _, writer = await asyncio.open_connection(host, int(port))
+            writer.close()
+            proxy.close()
+            target.close()
+
+        asyncio.run(scenario())
