--- a/packages/ebonylb/src/ebonylb/batches/item_attempt.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_attempt.py
@@ -29,8 +29,11 @@
 # Minimum time on a server before its speed is judged, and so between two moves.
 MIN_RUN_BEFORE_MOVE_MS = 200.0
 MAX_MOVES = 10
-# A server that refuses a model is loading its weights, which takes about one second.
+# A full server has a free slot again after about this time.
 REFUSAL_PAUSE_MS = 150.0
+# A server that refuses a model although it has free slots is loading its weights, which
+# takes about one second.
+LOADING_PAUSE_MS = 450.0
 # Deadline sent to servers. No caller waits for a single item, and closing the
 # connection ends the run earlier.
 RUN_DEADLINE_MS = 60_000.0
@@ -101,7 +104,7 @@
             head = response.head
             self.apply_load(server, state, need, head)
             if head.not_run:
-                self.record_refusal(server, need, head.wrong_server, head.status)
+                self.record_refusal(server, need, head)
                 await self.drain_body(server, response)
                 return False
             if not self.check_status(server, state, head.status, route):
@@ -211,20 +214,26 @@
         return opened.ok_value
 
     def record_refusal(
-        self,
-        server: ListedServer,
-        need: ItemRequirements,
-        wrong_server: bool,
-        status: int,
+        self, server: ListedServer, need: ItemRequirements, head: ResponseHead
     ) -> None:
         """Record that a server refused an item without running it."""
         now = self.clock.monotonic_ms()
         condition = self.directory.condition(server.name)
-        condition.model_refused_until_ms[need.model] = now + REFUSAL_PAUSE_MS
+        load = head.load
+        is_loading = load is not None and load.running + load.waiting < server.slots
+        pause_ms = LOADING_PAUSE_MS if is_loading else REFUSAL_PAUSE_MS
+        condition.model_refused_until_ms[need.model] = now + pause_ms
         condition.record_refusal(now)
-        if wrong_server:
+        if head.wrong_server:
             condition.record_failure(now)
-        logger.debug("item refused", extra={"server": server.name, "status": status})
+        logger.debug(
+            "item refused",
+            extra={
+                "server": server.name,
+                "status": head.status,
+                "is_loading": is_loading,
+            },
+        )
 
     def check_version(
         self,
--- a/packages/ebonylb/tests/test_batches.py
+++ b/packages/ebonylb/tests/test_batches.py
@@ -752,6 +752,23 @@
 
         run_virtual(scenario())
 
+    def test_an_engine_that_loads_weights_is_asked_seldom(self):
+        """Guards against a rejected arrival each 150 ms while weights are loaded."""
+
+        async def scenario():
+            world = World(engines=1)
+            vm = world.start("a")
+            engine = world.port.servers["e0"]
+            engine.loading["m"] = world.clock.monotonic_ms()
+            assert await vm.batches.submit(world.batch("x", [3])) is None
+            await world.clock.sleep_ms(900)
+            del engine.loading["m"]
+            await read_all(vm, "x", 1)
+            assert len(engine.received_requests) <= 4
+            assert world.clock.monotonic_ms() < 1_700
+
+        run_virtual(scenario())
+
     def test_a_long_run_leaves_a_disturbed_server(self):
         """A neighbour slows the engine of a step's longest item 2.5 times."""
 
