--- a/packages/ebonylb/src/ebonylb/orders/plan.py
+++ b/packages/ebonylb/src/ebonylb/orders/plan.py
@@ -79,13 +79,34 @@
     due: list[PlannedLoad] = []
     for model in models:
         target_version = target_versions.get(model, 0)
-        for index, server in enumerate(servers_of_model(model, models, names)):
-            loaded = loaded_versions.get((server, model), 0)
+        assigned = [
+            (index, server, loaded_versions.get((server, model), 0))
+            for index, server in enumerate(servers_of_model(model, models, names))
+        ]
+        missing = missing_loads(
+            [loaded for _, _, loaded in assigned if loaded], target_version
+        )
+        for index, server, loaded in assigned:
             if loaded == 0 or loaded >= target_version:
                 continue
             planned = PlannedLoad(server, model, target_version)
             if loaded < target_version - 1:
                 urgent.append(planned)
-            elif (target_version + index) % VERSIONS_PER_LOAD == 0:
+            elif missing and (target_version + index) % VERSIONS_PER_LOAD == 0:
+                missing -= 1
                 due.append(planned)
     return urgent + due
+
+
+def missing_loads(loaded_versions: Sequence[int], target_version: int) -> int:
+    """Return how many more servers of a model should load a version.
+
+    Half of them should. Servers that skipped the version before load this one in any
+    case. The others are chosen by their numbers on the ring, which change whenever a
+    server joins or leaves: without this limit, half of them would load again each time.
+    """
+    loading = sum(
+        loaded >= target_version or loaded < target_version - 1
+        for loaded in loaded_versions
+    )
+    return max(0, math.ceil(len(loaded_versions) / VERSIONS_PER_LOAD) - loading)
--- a/packages/ebonylb/tests/test_orders.py
+++ b/packages/ebonylb/tests/test_orders.py
@@ -1,5 +1,7 @@
 """Tests of weight orders: the plan, the leases and the claim delay."""
 
+from dataclasses import replace
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -92,6 +94,32 @@
                 loaded_versions[planned.server, planned.model] = planned.version
         assert loads / 20 / 3 <= 2
 
+    def test_servers_that_join_cause_no_loads_on_others(self):
+        """The load: a server joins with each version, and has the newest one.
+
+        Guards against loads because numbers on the ring change. As many loads are free
+        as there are servers for one model, if all models share alike.
+        """
+        model_names = ["m", "n", "o", "p"]
+        names = [f"e{n:02d}" for n in range(0, 46, 2)]
+        loaded_versions = {(name, model): 1 for name in names for model in model_names}
+        loads = free_loads = 0
+        for version in range(2, 16):
+            joined = f"e{2 * version + 1:02d}"
+            names = sorted([*names, joined])
+            loaded_versions |= {(joined, model): version for model in model_names}
+            planned_loads = plan_orders(
+                [replace(servers(1)[0], name=name) for name in names],
+                model_names,
+                dict.fromkeys(model_names, version),
+                loaded_versions,
+            )
+            loads += len(planned_loads)
+            free_loads += len(names)
+            for planned in planned_loads:
+                loaded_versions[planned.server, planned.model] = planned.version
+        assert loads <= free_loads
+
     def test_servers_that_fell_behind_go_first(self):
         model_names = ["m"]
         loaded_versions = {("e0", "m"): 4, ("e1", "m"): 1}
