--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_servers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from collections import Counter, deque
 from dataclasses import dataclass, field
 from random import Random
@@ -63,6 +64,11 @@
         Loop time in seconds and request id of each request.
     received_headers : deque of dict of str to str
         Headers of the last requests that arrived, with lower-case names.
+    identities : dict of str to set of (str, str)
+        ``Authorization`` and ``Ebonylb-Tenant`` headers of the requests that arrived,
+        by request id; empty texts for missing headers.
+    begun_ms : dict of str to float
+        Wall clock time at which a request first began to run, by request id.
     refused_request_ids : set of str
         Requests that were refused without running.
     text_ended_s : dict of str to float
@@ -95,6 +101,8 @@
     received_headers: deque[dict[str, str]] = field(
         default_factory=lambda: deque(maxlen=MAX_KEPT_HEADERS)
     )
+    identities: dict[str, set[tuple[str, str]]] = field(default_factory=dict)
+    begun_ms: dict[str, float] = field(default_factory=dict)
     orders: list[ReceivedOrder] = field(default_factory=list)
     refused_request_ids: set[str] = field(default_factory=set)
     text_ended_s: dict[str, float] = field(default_factory=dict)
@@ -206,6 +214,10 @@
         self.received_headers.append(
             {name.lower(): value for name, value in request.headers.items()}
         )
+        identity = [
+            request.headers.get(n, "") for n in ("Authorization", "Ebonylb-Tenant")
+        ]
+        self.identities.setdefault(request_id, set()).add((identity[0], identity[1]))
         self.arrivals.append((asyncio.get_running_loop().time(), request_id))
         if self.is_for_another_server(request):
             headers["Ebonylb-Not-Executed"] = "1"
@@ -215,6 +227,7 @@
             headers["Ebonylb-Not-Executed"] = "1"
             return web.Response(status=503, headers=headers)
         self.run_counts[request_id] += 1
+        self.begun_ms.setdefault(request_id, time.time() * 1_000)
         headers["Ebonylb-Response-Seal"] = seal_of(request_id)
         self.running += 1
         try:
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
@@ -186,6 +186,7 @@
     store: HttpStore = field(init=False)
     servers: dict[str, HttpServer] = field(default_factory=dict)
     server_addresses: dict[str, str] = field(default_factory=dict)
+    server_zones: dict[str, str] = field(default_factory=dict)
     vms: dict[str, EntryVmProcess] = field(default_factory=dict)
     resources: contextlib.AsyncExitStack = field(
         default_factory=contextlib.AsyncExitStack
@@ -250,6 +251,7 @@
 
     def register(self, server: HttpServer, zone: str, state: str = "ready") -> None:
         """Write the server's registration row to the store."""
+        self.server_zones[server.name] = zone
         entry = server.registration_row(self.server_addresses[server.name], zone, state)
         self.store.data.put("servers", server.name, entry)
 
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/stored_configuration.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/stored_configuration.py
@@ -73,3 +73,21 @@
     for route in document["Routes"]:
         route["Public"] = route["Name"] in public_routes
     return json.dumps(document).encode()
+
+
+def with_scaling(value: bytes, service: str, **fields: Any) -> bytes:
+    """Return a stored configuration in which a service is scaled within bounds.
+
+    Only services whose requests all belong to batches are scaled, so that the other
+    routes of the service are left out.
+    """
+    document = json.loads(value)
+    document["Routes"] = [
+        route
+        for route in document["Routes"]
+        if route["Service"] != service or route["Kind"] == "rollout"
+    ]
+    for spec in document["Services"]:
+        if spec["Name"] == service:
+            spec["Scaling"] = fields
+    return json.dumps(document).encode()
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/__main__.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/__main__.py
@@ -24,7 +24,9 @@
     seconds: Annotated[float, cappa.Arg(long=True, help="Length of the faults.")] = 12
     at_once: Annotated[int, cappa.Arg(long=True, help="Soaks at the same time.")] = 2
     entry_vms: Annotated[int, cappa.Arg(long=True, help="Entry VMs.")] = ENTRY_VMS
-    broken: Annotated[str, cappa.Arg(long=True, help="Broken variant to run.")] = ""
+    broken: Annotated[
+        str, cappa.Arg(long=True, help="Broken variants to run, separated by commas.")
+    ] = ""
     keep: Annotated[str, cappa.Arg(long=True, help="Folder of failed runs.")] = ""
 
 
@@ -42,7 +44,11 @@
             log_folder = Path(options.keep) if options.keep else None
             program = PROGRAM
             if options.broken:
-                program = ("-m", "ebonylb_standins.soak.broken", options.broken)
+                program = (
+                    "-m",
+                    "ebonylb_standins.soak.broken",
+                    *options.broken.split(","),
+                )
             failures = await run_soak(
                 seed, options.seconds, ip, log_folder, program, options.entry_vms
             )
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/broken.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/broken.py
@@ -1,21 +1,25 @@
 """Broken variants of the entry VM process, which the soak must detect.
 
 Each variant disables the mechanism behind one guarantee. Started as
-``python -m ebonylb_standins.soak.broken VARIANT``.
+``python -m ebonylb_standins.soak.broken VARIANT...``.
 """
 
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 
 from result import Ok
 
 from ebonylb.batches import item_attempt, item_run, repository, rows
+from ebonylb.customers import revocation_bound
 from ebonylb.fleet import directory
 from ebonylb.forwarding import attempt, failover, request_runs, stream_origins
 from ebonylb.leases import table
 from ebonylb.limits import shares
 from ebonylb.orders import leases
+from ebonylb.platform import identity_headers, ingress
 from ebonylb.service.site_main import main
+from ebonylb.usage import report_table, reporter
 
 
 def repeat_bookings() -> None:
@@ -126,6 +130,52 @@
     failover.can_repeat = lambda state: True
 
 
+def honour_keys_forever() -> None:
+    """Honour the keys of the last configuration known, however old it is."""
+    revocation_bound.RevocationBound.may_honour_keys = lambda self: self.has_view
+
+
+def pass_keys_on() -> None:
+    """Send servers the caller's key beside the customer's name."""
+
+    def add_identity(headers, customer):
+        kept = tuple((str(name), value) for name, value in headers)
+        return kept + identity_headers.customer_headers(customer)
+
+    ingress.replace_identity = add_identity
+
+
+def sum_again() -> None:
+    """Send each report twice, and sum the counts of its window each time."""
+    original = reporter.UsageReporter.prepare
+    original_end = report_table.ReportTable.end
+    sent: set[int] = set()
+
+    async def prepare(self):
+        is_prepared = await original(self)
+        if is_prepared:
+            read = await self.count_table.read_sum(self.pending.window)
+            if read.is_ok():
+                row = report_table.ReportRow(read.ok_value.counts)
+                self.pending = replace(self.pending, row=row)
+        return is_prepared
+
+    async def end(self, report, state):
+        if report.window not in sent:
+            sent.add(report.window)
+            return True
+        return await original_end(self, report, state)
+
+    reporter.UsageReporter.prepare = prepare
+    report_table.ReportTable.end = end
+
+
+def act_without_lease() -> None:
+    """Make the calls of all duties, whoever holds their leases."""
+    table.LeaseTable.can_claim = lambda self, subject: True
+    table.LeaseTable.is_holder = lambda self, subject: True
+
+
 VARIANTS: dict[str, Callable[[], None]] = {
     function.__name__: function
     for function in (
@@ -141,9 +191,14 @@
         forget_origins,
         never_relay,
         relay_again,
+        honour_keys_forever,
+        pass_keys_on,
+        sum_again,
+        act_without_lease,
     )
 }
 
 if __name__ == "__main__":
-    VARIANTS[sys.argv[1]]()
+    for variant in sys.argv[1:]:
+        VARIANTS[variant]()
     main()
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/faults.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/faults.py
@@ -10,8 +10,8 @@
 
 from ..processes import ends_within
 from ..site.cut_path import PathState
-from ..site.http_servers import HttpServer
-from ..site.http_site import ENGINE, MODELS, ZONES, configuration
+from ..site.http_site import ZONES
+from .duties import new_engine
 
 if TYPE_CHECKING:
     from .run import SoakSite
@@ -131,8 +131,8 @@
 async def change_configuration(site: "SoakSite", rng: random.Random) -> None:
     """Write one to four new configurations in quick succession."""
     for _ in range(rng.randint(1, 4)):
-        site.configuration_version += rng.randint(1, 5)
-        site.store.data.put("op", "config", configuration(site.configuration_version))
+        site.configuration_version += rng.randint(0, 4)
+        site.write_configuration()
         await asyncio.sleep(rng.uniform(0.0, 0.5))
 
 
@@ -140,13 +140,14 @@
     """Delete all server entries while the store is down; restore them afterwards."""
     site.store.faults.down = True
     await asyncio.sleep(rng.uniform(0.5, 2.0))
-    names = list(site.servers)
+    names = list(site.server_addresses)
     for name in names:
         site.store.data.put("servers", name, None)
     site.store.faults.down = False
     await asyncio.sleep(rng.uniform(0.2, 1.2))
     for name in names:
-        site.register(site.servers[name], "north")
+        if name not in site.engine_orders.gone:
+            site.register(site.servers[name], site.server_zones[name])
 
 
 async def foreign_entries(site: "SoakSite", rng: random.Random) -> None:
@@ -187,11 +188,7 @@
 
 async def add_empty_engine(site: "SoakSite", rng: random.Random) -> None:
     """Add an engine that has the newest weights and nothing in its caches."""
-    engines = [s for s in site.servers.values() if s.service == ENGINE]
-    engine = HttpServer(f"engine-{len(engines)}", ENGINE, MODELS)
-    for model in MODELS:
-        engine.versions[model] = max(s.versions[model] for s in engines)
-    await site.add_server(engine, rng.choice(list(ZONES)))
+    await site.add_server(new_engine(site), rng.choice(list(ZONES)))
 
 
 async def reset_all_paths(site: "SoakSite", rng: random.Random) -> None:
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/load.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/load.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from ..site.http_servers import event_text, scoring_id, seal_of
+from .customers import CUSTOMERS, UNKNOWN_KEY, Sending, check_refusal
 
 if TYPE_CHECKING:
     from .run import SoakSite
@@ -17,6 +18,8 @@
 SETTLE_TIMEOUT_S = 30.0
 # Last item of a batch of eight, whose scoring request fails on each server.
 UNSCORABLE_ITEM = 7
+# Shares of a trainer's batches with calls by other keys, and of requests without a key.
+FOREIGN_CALL_SHARE, KEYLESS_SHARE = 0.3, 0.2
 
 
 class Trainer:
@@ -39,6 +42,7 @@
         self.results_by_batch: dict[str, dict[int, dict]] = {}
         # The first trainer's items have no scoring requests. One item of each batch of
         # the last trainer can never be scored.
+        self.customer = CUSTOMERS[int(name[1:]) % len(CUSTOMERS)]
         self.scored = name != "t0"
         self.unscorable_items = (UNSCORABLE_ITEM,) if name == "t2" else ()
 
@@ -55,17 +59,46 @@
                 await self.read(batch_id, deadline_s)
                 if self.random.random() < 0.2:
                     await self.end_batch(batch_id)
+            if self.random.random() < FOREIGN_CALL_SHARE:
+                await self.call_with_foreign_keys(batch_id)
             number += 1
 
     async def call(
-        self, method: str, path: str, request_id: str = "", body=b"", **headers
+        self, method: str, path: str, request_id: str = "", body=b"", key="", **headers
     ):
-        """Call a random entry VM; return None if there was no complete response."""
+        """Call a random entry VM; return None if there was no complete response.
+
+        Without `key`, one of the customer's keys in force is used.
+        """
         vm = self.random.choice(list(self.site.vms.values()))
+        key = key or self.random.choice(self.site.keys.in_force[self.customer])
+        sending = Sending(self.customer, key, self.site.keys.now_s())
+        headers["Authorization"] = f"Bearer {key}"
         try:
-            return await self.site.call(vm, method, path, request_id, body, **headers)
+            response = await self.site.call(
+                vm, method, path, request_id, body, **headers
+            )
         except (aiohttp.ClientError, OSError, TimeoutError):
             return None
+        if response[0] == 401 and self.site.keys.must_be_known(sending):
+            self.site.record_failure("denied", f"{method} {path} with {key}")
+        return response
+
+    async def call_with_foreign_keys(self, batch_id: str) -> None:
+        """Read a batch with another customer's key, and submit one with a bad key."""
+        others = [name for name in CUSTOMERS if name != self.customer]
+        key = self.site.keys.in_force[self.random.choice(others)][0]
+        response = await self.call("GET", f"/api/lots/{batch_id}", key=key)
+        if response and response[0] == 200:
+            self.site.record_failure("batch of another customer", batch_id)
+        removed = [key for key in self.site.keys.removed_s if self.customer in key]
+        key = self.random.choice([UNKNOWN_KEY, *removed])
+        bad_id = f"{batch_id}x"
+        body = self.site.batch_body(bad_id, [3])
+        sending = self.site.keys.record_batch(bad_id, 1, self.customer, key)
+        response = await self.call("POST", "/batch/x", bad_id, body, key)
+        if response and response[0] == 202 and not self.site.keys.may_run(sending):
+            self.site.record_failure("batch accepted with a bad key", bad_id)
 
     async def submit(self, batch_id: str, lengths: list[int], until_s: float) -> bool:
         """Submit a batch until it is accepted, as trainers do; return whether it was.
@@ -80,12 +113,14 @@
         )
         statuses = []
         while asyncio.get_running_loop().time() < until_s:
-            response = await self.call("POST", "/batch/x", batch_id, body)
+            key = self.random.choice(self.site.keys.in_force[self.customer])
+            self.site.keys.record_batch(batch_id, len(lengths), self.customer, key)
+            response = await self.call("POST", "/batch/x", batch_id, body, key)
             if response and response[0] == 202:
                 return True
             statuses.append(response[0] if response else None)
             await asyncio.sleep(0.2)
-        if all(status == 503 for status in statuses):
+        if all(status in (401, 503) for status in statuses):
             self.site.refused_batch_ids.add(batch_id)
         return False
 
@@ -164,16 +199,17 @@
         self.site = site
         self.name = name
         self.random = rng
+        self.customer = CUSTOMERS[int(name[1:]) % len(CUSTOMERS)]
+        self.number = 0
         self.served = 0
 
     async def run(self, until_s: float) -> None:
         """Send requests in sequence with short random pauses."""
-        number = 0
         async with aiohttp.ClientSession() as session:
             while asyncio.get_running_loop().time() < until_s:
-                number += 1
+                self.number += 1
                 path = self.random.choice(["/ask/1", "/book/1"])
-                await self.send(session, f"{self.name}-{number}", path)
+                await self.send(session, f"{self.name}-{self.number}", path)
                 await asyncio.sleep(self.random.uniform(0, 0.1))
 
     async def send(
@@ -185,7 +221,14 @@
             "Host": "site.example",
             "Ebonylb-Request-Id": request_id,
             "Ebonylb-Deadline-Ms": "2000",
+            "Ebonylb-Tenant": "forged",
         }
+        key = self.site.keys.choose(self.customer, self.random)
+        if self.random.random() < KEYLESS_SHARE:
+            key = ""
+        if key:
+            headers["Authorization"] = f"Bearer {key}"
+        sending = self.site.keys.record(request_id, self.customer, key)
         body = request_id.encode() * self.random.randint(1, 50)
         try:
             async with session.post(
@@ -197,11 +240,10 @@
                 response_body = await response.read()
         except (aiohttp.ClientError, OSError, TimeoutError):
             return
+        check_refusal(self.site, request_id, sending, response.status)
         if response.status == 200:
             self.served += 1
             if response_body != f"{request_id}:".encode() + body:
                 self.site.record_failure("wrong response", request_id)
-        elif response.status == 503:
-            self.site.refused_request_ids.add(request_id)
         elif response.status == 404:
             self.site.record_failure("status 404", request_id)
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/run.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/run.py
@@ -7,10 +7,16 @@
 from collections.abc import Sequence
 from pathlib import Path
 
+from ebonylb.adapters import SystemClock
+
+from ..site.control_plane import FakeControlPlane
+from ..site.control_plane_api import ControlPlaneApi
 from ..site.cuttable_site import CuttableSite
+from ..site.duty_site import duty_settings
 from ..site.http_servers import HttpServer, scoring_id
 from ..site.http_site import PROGRAM, EntryVmProcess
 from ..site.proxy import FaultProxy
+from . import customers, duties
 from .faults import cut_paths, grow_and_reset, inject_faults
 from .load import Caller, Trainer
 
@@ -33,6 +39,12 @@
         Requests and batches refused as not run; the checks require that none ran.
     ready_vm_names : set of str
         Entry VMs that have reported ready since their last start.
+    keys : CustomerKeys
+        Keys of the customers, and the requests sent with them.
+    platform : FakeControlPlane
+        Records the calls of duties and has the API's faults.
+    engine_orders : EngineOrders
+        Carries out the orders of servers.
     """
 
     def initialize(self, seed: int) -> None:
@@ -45,8 +57,25 @@
         self.store_proxies: dict[str, FaultProxy] = {}
         self.server_proxies: dict[str, FaultProxy] = {}
         self.configuration_version = 1
+        self.keys = customers.CustomerKeys()
+        self.first_configuration = customers.soak_configuration(1, self.keys)
+        self.platform = FakeControlPlane(SystemClock())
+        self.engine_orders = duties.EngineOrders(self)
         self.started_s = asyncio.get_running_loop().time()
 
+    async def start(self) -> None:
+        """Start the platform's API and the site."""
+        api = ControlPlaneApi(self.platform, self.engine_orders.carry_out)
+        address = await self.listen(api.build_app())
+        self.settings = (*customers.SETTINGS, *duty_settings(address))
+        await super().start()
+
+    def write_configuration(self) -> None:
+        """Store the next version of the configuration."""
+        self.configuration_version += 1
+        value = customers.soak_configuration(self.configuration_version, self.keys)
+        self.store.data.put("op", "config", value)
+
     def elapsed_s(self) -> float:
         """Return the time since the start of the run."""
         return asyncio.get_running_loop().time() - self.started_s
@@ -228,12 +257,20 @@
             grow_and_reset(site, random.Random(f"growth-{seed}"), until_s),
             cut_paths(site, random.Random(f"cuts-{seed}"), until_s),
             publish_versions(site, until_s),
+            customers.take_keys_away(site, random.Random(f"keys-{seed}"), until_s),
+            duties.disturb_platform(site, random.Random(f"duties-{seed}"), until_s),
             *(client.run(until_s) for client in (*trainers, *callers)),
         )
         for vm in site.vms.values():
             await site.restart(vm)
-        await asyncio.gather(*(trainer.read_unfinished() for trainer in trainers))
+        await asyncio.gather(
+            *(trainer.read_unfinished() for trainer in trainers),
+            duties.run_calm(site, callers),
+        )
         site.check_servers()
+        customers.check_runs(site)
+        customers.check_secrecy(site)
+        duties.check_calls(site)
         site.check_scoring()
         for caller in callers:
             site.check_bookings(caller.bookings)
--- a/packages/ebonylb_standins/tests/test_soak.py
+++ b/packages/ebonylb_standins/tests/test_soak.py
@@ -1,9 +1,13 @@
 """Short seeded soak runs, and broken variants that the soak's checks must report."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
+from ebonylb_standins.site.control_plane import FakeControlPlane, RecordedCall
+from ebonylb_standins.soak import duties
+from ebonylb_standins.soak.customers import REVOKE_S, CustomerKeys
 from ebonylb_standins.soak.run import run_soak
 
 # Seeds of past failures, each with its cause.
@@ -13,7 +17,7 @@
 )
 SHORT_S, REGRESSION_S = 6.0, 12.0
 # Each run uses its own addresses: 127.0.0.N and the next three.
-SHORT_IP, REGRESSION_IP, BROKEN_IP = 200, 240, 205
+SHORT_IP, REGRESSION_IP, BROKEN_IP, PAIR_IP = 200, 240, 205, 225
 
 
 @pytest.mark.xdist_group("soak")
@@ -43,3 +47,65 @@
         program = ("-m", "ebonylb_standins.soak.broken", variant)
         failures = asyncio.run(run_soak(1, 8.0, first_ip, program=program))
         assert expected_check in {check for _, check, _ in failures}
+
+    @pytest.mark.parametrize(
+        ("checks_by_variant", "first_ip"),
+        [
+            (
+                {
+                    "honour_keys_forever": "revoked key ran",
+                    "sum_again": "two counts for a window",
+                },
+                PAIR_IP,
+            ),
+            (
+                {
+                    "pass_keys_on": "key reached a server",
+                    "act_without_lease": "holders A, B, A",
+                },
+                PAIR_IP + 5,
+            ),
+        ],
+    )
+    def test_broken_variants_of_customers_and_duties_are_reported(
+        self, checks_by_variant, first_ip
+    ):
+        """Two at a time, of parts that have nothing in common, which saves a run."""
+        program = ("-m", "ebonylb_standins.soak.broken", *checks_by_variant)
+        failures = asyncio.run(run_soak(1, 5.0, first_ip, program=program))
+        assert set(checks_by_variant.values()) <= {check for _, check, _ in failures}
+
+
+class TestChecks:
+    @pytest.mark.parametrize(("count", "is_reported"), [(40, False), (36, True)])
+    def test_usage_that_differs_is_reported(self, count, is_reported):
+        """Guards against a comparison that accepts any count."""
+
+        async def check():
+            keys, failures = CustomerKeys(), []
+            for number in range(40):
+                keys.record(f"q{number}", "acme", keys.in_force["acme"][0])
+            begun_ms = dict.fromkeys(keys.sendings, 7_500.0)
+            call = RecordedCall(0.0, "usage", "vm-0", 1, {"acme": count}, window=7)
+            site = SimpleNamespace(
+                servers={"desk-0": SimpleNamespace(begun_ms=begun_ms)},
+                keys=keys,
+                platform=FakeControlPlane(None, calls=[call]),
+                record_failure=lambda *failure: failures.append(failure),
+            )
+            duties.check_window(site, 7)
+            return failures
+
+        assert bool(asyncio.run(check())) is is_reported
+
+    def test_only_keys_taken_away_long_ago_must_not_run(self):
+        async def check():
+            keys = CustomerKeys()
+            sending = keys.record("q", "acme", keys.in_force["acme"][1])
+            assert keys.may_run(sending)
+            keys.replace("acme")
+            assert keys.may_run(sending)
+            keys.removed_s[sending.key] = sending.sent_s - REVOKE_S - 0.1
+            assert not keys.may_run(sending)
+
+        asyncio.run(check())
