--- a/packages/ebonylb/src/ebonylb/batches/repository.py
+++ b/packages/ebonylb/src/ebonylb/batches/repository.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Sequence
 from dataclasses import dataclass
 
@@ -19,6 +20,10 @@
 # a third in JSON.
 MAX_TRANSACTION_ENTRIES = 95
 MAX_TRANSACTION_BYTES = 650_000
+# Submissions with one id at several entry VMs may overwrite each other's parts. A part
+# takes a write of 5 to 25 ms; with random pauses one of the submissions comes through.
+MAX_CREATIONS = 4
+MAX_CREATION_PAUSE_MS = 200.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,34 +75,82 @@
         """Store a new batch and return its progress; None if the id exists already.
 
         The progress row is written last, since a batch exists from this row on. Items
-        of a submission that failed before belong to no batch.
+        of a submission that failed before belong to no batch and are overwritten. The
+        whole is written again if another submission has overwritten a part meanwhile.
         """
-        batch_id = batch.header.batch_id
-        puts = rows.encode_items(batch_id, batch.items, self.row_bytes)
+        parts = self.split_items(batch)
+        for _ in range(MAX_CREATIONS):
+            created = await self.try_create(batch, progress, parts)
+            if isinstance(created, Err) or created.ok_value or len(parts) == 1:
+                return created
+            current = await self.progress(batch.header.batch_id)
+            if isinstance(current, Err):
+                # A batch with this id may exist.
+                error = current.err_value
+                return Err(StepError(error.step, error.peer, error.message))
+            if current.ok_value is not None:
+                return Ok(None)
+            pause_ms = random.uniform(0, MAX_CREATION_PAUSE_MS)
+            await self.store_time.clock.sleep_ms(pause_ms)
+        message = "other submissions with this id are under way"
+        return Err(StepError("create", batch.header.batch_id, message, False))
+
+    def split_items(self, batch: Batch) -> list[list[Put]]:
+        """Return the writes of a batch's items in parts, one for each transaction."""
+        puts = rows.encode_items(batch.header.batch_id, batch.items, self.row_bytes)
+        parts = []
         while sum(len(put.value) for put in puts) > MAX_TRANSACTION_BYTES:
             size, count = 0, 0
             while count < len(puts) and size < MAX_TRANSACTION_BYTES - self.row_bytes:
                 size += len(puts[count].value)
                 count += 1
-            part, puts = puts[:count], puts[count:]
-            sent = await self.store.transact([], part)
+            parts.append(puts[:count])
+            puts = puts[count:]
+        return [*parts, puts]
+
+    async def try_create(
+        self, batch: Batch, progress: Progress, parts: Sequence[Sequence[Put]]
+    ) -> Result[StoredProgress | None, StepError]:
+        """Store a new batch; None if it exists or a part was overwritten meanwhile.
+
+        Each transaction requires that no batch with this id exists. The last one also
+        requires that the parts before it are still those of this submission. Of each
+        part, its first row is enough: parts are written whole, and all rows of items
+        but the last are equally large, so that the parts of all submissions begin at
+        the same rows.
+        """
+        batch_id = batch.header.batch_id
+        is_absent = Condition(rows.progress_key(batch_id), 0)
+        own_parts: list[Condition] = []
+        for part in parts[:-1]:
+            sent = await self.store.transact([is_absent], part)
             if isinstance(sent, Err):
                 return sent
-        puts.append(rows.encode_item_hashes(batch_id, batch.items))
-        puts.append(rows.encode_progress(progress))
-        return await self.commit(0, progress, puts)
+            if isinstance(sent.ok_value, Mismatch):
+                return Ok(None)
+            own_parts.append(Condition(part[0].row_key, sent.ok_value.version))
+        puts = [
+            *parts[-1],
+            rows.encode_item_hashes(batch_id, batch.items),
+            rows.encode_progress(progress),
+        ]
+        return await self.commit(0, progress, puts, own_parts)
 
     async def commit(
-        self, version: int, progress: Progress, puts: Sequence[Put]
+        self,
+        version: int,
+        progress: Progress,
+        puts: Sequence[Put],
+        conditions: Sequence[Condition] = (),
     ) -> Result[StoredProgress | None, StepError]:
         """Write rows on condition that the progress row has the given version.
 
-        Return the new progress, or None if the row has another version. If the stored
-        row carries the token of `progress`, an earlier attempt of the same write has
-        succeeded.
+        Return the new progress, or None if the row has another version or one of the
+        further conditions fails. If the stored row carries the token of `progress`, an
+        earlier attempt of the same write has succeeded.
         """
         key = rows.progress_key(progress.header.batch_id)
-        sent = await self.store.transact([Condition(key, version)], puts)
+        sent = await self.store.transact([Condition(key, version), *conditions], puts)
         if isinstance(sent, Err):
             return sent
         match sent.ok_value:
@@ -106,7 +159,7 @@
             case Mismatch(rows=mismatched_rows):
                 for row in mismatched_rows:
                     if (
-                        row.row_key.key == key.key
+                        row.row_key == key
                         and rows.decode_progress(row).token == progress.token
                     ):
                         return Ok(StoredProgress(progress, row.version))
