--- a/packages/ebonyctl/src/ebonyctl/cli.py
+++ b/packages/ebonyctl/src/ebonyctl/cli.py
@@ -12,6 +12,7 @@
 from .client import AdminClient
 from .exits import CommandError, ExitCode
 from .output import Output
+from .state_commands import Duties, Keys, Scaling, StateCommand, Usage
 
 EXIT_CODES = """Exit codes: 0 ok, 2 usage, 3 refused input, 4 conflict, 5 unavailable,
 6 not found, 7 unauthorised, 130 interrupted."""
@@ -234,7 +235,20 @@
     """Command line with the options of all commands."""
 
     command: cappa.Subcommands[
-        Check | Apply | Diff | Status | Shares | Audit | Drain | Explain | Trace | Steps
+        Check
+        | Apply
+        | Diff
+        | Status
+        | Shares
+        | Audit
+        | Drain
+        | Explain
+        | Trace
+        | Steps
+        | Keys
+        | Duties
+        | Usage
+        | Scaling
     ]
     endpoint: Annotated[
         list[str],
@@ -301,6 +315,9 @@
     if isinstance(command, (Trace, Steps)):
         command.run(output)
         return
+    if isinstance(command, StateCommand):
+        await command.run(output)
+        return
     async with create_client(options, output) as client, output.progress():
         await command.run(client, output)
 
--- a/packages/ebonyctl/src/ebonyctl/traces.py
+++ b/packages/ebonyctl/src/ebonyctl/traces.py
@@ -27,6 +27,8 @@
         "entry VM leaving",
         "entry VM stopped",
         "configuration in force",
+        "keys honoured",
+        "keys not honoured",
         "settings read again",
         "settings refused",
     }
--- a/packages/ebonylb/src/ebonylb/customers/revocation_bound.py
+++ b/packages/ebonylb/src/ebonylb/customers/revocation_bound.py
@@ -60,10 +60,14 @@
         """Return the age of the view; infinite before the first complete read."""
         return self.clock.boot_ms() - self.view_began_ms
 
+    def is_recent(self) -> bool:
+        """Return whether the view is recent enough to honour keys."""
+        return self.has_view and self.age_ms() <= self.honour_ms
+
     def may_honour_keys(self) -> bool:
         """Return whether a key that the view contains may still be valid."""
         age_ms = self.age_ms()
-        honours = self.has_view and age_ms <= self.honour_ms
+        honours = self.is_recent()
         if honours is not self.was_honouring:
             self.was_honouring = honours
             logger.info(
--- a/packages/ebonylb/src/ebonylb/routes/table.py
+++ b/packages/ebonylb/src/ebonylb/routes/table.py
@@ -1,6 +1,7 @@
 """Route table of this entry VM, and the split of routes between services."""
 
 import logging
+from collections.abc import Callable
 
 from xxhash import xxh64_intdigest
 
@@ -8,13 +9,22 @@
 
 logger = logging.getLogger(__name__)
 
+ConfigurationObserver = Callable[[Configuration | None, Configuration], None]
+
 HASH_RANGE = float(1 << 64)
 
 
 class RouteTable:
-    """Routes of the newest configuration received; older ones are ignored."""
+    """Routes of the newest configuration received; older ones are ignored.
+
+    Attributes
+    ----------
+    observers : list of callable
+        Called with the previous configuration, if any, and the one now in force.
+    """
 
     def __init__(self) -> None:
+        self.observers: list[ConfigurationObserver] = []
         self.configuration: Configuration | None = None
         self.routes_by_host: dict[str, list[Route]] = {}
 
@@ -39,7 +49,7 @@
         for routes in routes_by_host.values():
             routes.sort(key=lambda route: -len(route.prefix))
         self.routes_by_host = routes_by_host
-        self.configuration = configuration
+        previous, self.configuration = self.configuration, configuration
         logger.info(
             "configuration in force",
             extra={
@@ -47,6 +57,8 @@
                 "routes": len(configuration.routes),
             },
         )
+        for observe in self.observers:
+            observe(previous, configuration)
         return True
 
     def find(self, host: str, path: str) -> Route | None:
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -16,6 +16,7 @@
 from ..adapters.http_server import DiscreetServer
 from ..adapters.memory_metrics import InMemoryMetrics
 from ..adapters.relay_http import HttpRelayClient, RelayHandler
+from ..customers import KeyChanges
 from ..fleet.selector import Locality
 from ..interfaces.row_store import StoredRow
 from ..outcomes import new_token
@@ -42,6 +43,7 @@
 from ..telemetry.bounded_logs import BoundedLineHandler
 from .caller_drain import CallerDrain
 from .duty_components import DutyPlan
+from .entry_vm_state import describe_state
 from .metrics_handler import MetricsHandler
 from .readiness import Readiness
 from .reload import SettingsReload
@@ -136,6 +138,8 @@
             self.settings.row_bytes,
             DutyPlan(self.settings.duties, self.settings.duty_calls_per_s),
         )
+        self.key_changes = KeyChanges(self.clock)
+        self.components.routes.observers.append(self.key_changes.observe)
         self.readiness = Readiness(self.components.routes, self.clock)
         self.readiness.standby = self.components.standby
         self.uploads = Uploads()
@@ -266,7 +270,11 @@
             self.uploads,
             self.components.key_check,
         )
-        metrics_handler = MetricsHandler(self.metrics, self.read_gauges)
+        metrics_handler = MetricsHandler(
+            self.metrics,
+            self.read_gauges,
+            lambda: describe_state(self.components, self.key_changes),
+        )
         self.relay_handler = RelayHandler(self.components.relay_receiver.serve)
         for handler, address, max_bytes in (
             (ingress.handle, self.settings.caller_address, MAX_BODY_BYTES),
--- a/packages/ebonylb/tests/test_customers.py
+++ b/packages/ebonylb/tests/test_customers.py
@@ -12,7 +12,7 @@
 
 from ebonylb.adapters import NullMetrics
 from ebonylb.batches import BatchHeader, ScoringRequest
-from ebonylb.customers import BatchAccess, KeyCheck, RevocationBound
+from ebonylb.customers import BatchAccess, KeyChanges, KeyCheck, RevocationBound
 from ebonylb.interfaces.row_store import RowKey, StoredRow
 from ebonylb.routes import Configuration, Customer, Route, RouteKind, RouteTable
 from ebonylb.service.site import decode_operator_row
@@ -342,3 +342,37 @@
         request = msgspec.msgpack.decode(encoded, type=earlier)
         encoded = msgspec.msgpack.encode(request)
         assert msgspec.msgpack.decode(encoded, type=ScoringRequest).headers == ()
+
+
+class TestKeyChanges:
+    """Load pattern: configurations of the operator, one after the other."""
+
+    def changes(self, *keys_by_version):
+        changes, previous = KeyChanges(ManualClock(100_000.0)), None
+        for version, keys in enumerate(keys_by_version, 1):
+            customers = {name: Customer(name) for name in keys}
+            by_key = {k: customers[name] for name in keys for k in keys[name]}
+            current = Configuration(
+                version, (), customers=customers, customers_by_key=by_key
+            )
+            changes.observe(previous, current)
+            previous = current
+        return changes
+
+    def test_removed_and_moved_keys_are_noted(self, caplog):
+        """Guards against a removal that operators cannot see, and a key in a log."""
+        with caplog.at_level(logging.INFO):
+            changes = self.changes(
+                {"acme": ["key-one", "key-two"], "bolt": ["key-three"]},
+                {"acme": ["key-one", "key-two"], "bolt": ["key-three"]},
+                {"acme": ["key-one", "key-three"], "bolt": []},
+                {"acme": ["key-one", "key-three"]},
+            )
+        removals = {n: (r.removed, r.version) for n, r in changes.removals.items()}
+        assert removals == {"acme": (1, 3), "bolt": (1, 3)}
+        logged = [(r.customer, r.keys, r.added, r.removed) for r in caplog.records]
+        assert logged == [("acme", 2, 1, 1), ("bolt", 0, 0, 1)]
+        assert "key-" not in repr(vars(changes)) + caplog.text
+
+    def test_the_first_configuration_takes_nothing_away(self):
+        assert self.changes({"acme": ["key-one"]}).removals == {}
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
@@ -328,7 +328,13 @@
         self, vm: EntryVmProcess
     ) -> tuple[int, bytes, dict[str, str]]:
         """Read the metrics page of an entry VM."""
-        async with self.http.get(f"http://{vm.ip}:{METRICS_PORT}/metrics") as response:
+        return await self.read_metrics_port(vm, "/metrics")
+
+    async def read_metrics_port(
+        self, vm: EntryVmProcess, path: str
+    ) -> tuple[int, bytes, dict[str, str]]:
+        """Read a page of the metrics address of an entry VM."""
+        async with self.http.get(f"http://{vm.ip}:{METRICS_PORT}{path}") as response:
             return response.status, await response.read(), dict(response.headers)
 
     def batch_body(
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/customers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/customers.py
@@ -252,9 +252,13 @@
                     site.record_failure("wrong customer at a server", detail)
 
 
-def check_secrecy(site: "SoakSite") -> None:
-    """Check that no key is in a log, nor in a row other than the operator's."""
+async def check_secrecy(site: "SoakSite") -> None:
+    """Check that no key is in a log, a page for operators, nor another table's row."""
     texts = {f"log of {name}": log_of(site, name) for name in site.vms}
+    for vm in site.vms.values():
+        for path in ("/metrics", "/state"):
+            _, page, _ = await site.read_metrics_port(vm, path)
+            texts[f"{path} of {vm.name}"] = page
     for row in site.store.data.rows.values():
         if row.row_key.table != "op":
             texts[str(row.row_key)] = row.value
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/run.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/run.py
@@ -269,7 +269,7 @@
         )
         site.check_servers()
         customers.check_runs(site)
-        customers.check_secrecy(site)
+        await customers.check_secrecy(site)
         duties.check_calls(site)
         site.check_scoring()
         for caller in callers:
