--- a/packages/ebonyctl/tests/test_placements.py
+++ b/packages/ebonyctl/tests/test_placements.py
@@ -21,7 +21,7 @@
     async def scenario():
         vm = World(plain_services=2).start("a")
         vm.directory.condition("p1").record_failure(vm.world.clock.monotonic_ms())
-        handler = MetricsHandler(InMemoryMetrics(), dict, vm.explainer.explain)
+        handler = MetricsHandler(InMemoryMetrics(), dict, dict, vm.explainer.explain)
         runner = web.ServerRunner(web.Server(handler.handle))
         await runner.setup()
         site = web.TCPSite(runner, "127.0.0.1", 0)
--- a/packages/ebonylb/src/ebonylb/service/metrics_handler.py
+++ b/packages/ebonylb/src/ebonylb/service/metrics_handler.py
@@ -1,6 +1,7 @@
-"""HTTP handler of the metrics address: metrics, and explanations of placements."""
+"""HTTP handler of the metrics address: metrics, state and explanations."""
 
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 from aiohttp import web
@@ -10,8 +11,10 @@
 
 METRICS_PATH = "/metrics"
 EXPLAIN_PATH = "/explain"
+STATE_PATH = "/state"
 
 GaugeReader = Callable[[], dict[str, float]]
+StateReader = Callable[[], dict[str, Any]]
 Explain = Callable[[Question], Explanation]
 
 
@@ -24,6 +27,8 @@
         Collected metrics.
     read_gauges : callable
         Returns the current values of the gauges by name.
+    read_state : callable
+        Returns the document for operators, which contains no key.
     explain : callable or None
         Explains where a request would be placed; None if that is not offered.
     """
@@ -32,16 +37,23 @@
         self,
         metrics: InMemoryMetrics,
         read_gauges: GaugeReader,
+        read_state: StateReader,
         explain: Explain | None = None,
     ) -> None:
         self.metrics = metrics
         self.read_gauges = read_gauges
+        self.read_state = read_state
         self.explain = explain
 
     async def handle(self, request: web.BaseRequest) -> web.Response:
         """Return the page of a path, or status 404 if there is none."""
         if request.path == EXPLAIN_PATH and self.explain is not None:
             return self.handle_explain(request, self.explain)
+        if request.path == STATE_PATH:
+            return web.Response(
+                body=msgspec.json.encode(self.read_state()),
+                content_type="application/json",
+            )
         if request.path != METRICS_PATH:
             return web.Response(status=404)
         for name, value in self.read_gauges().items():
--- a/packages/ebonylb/tests/test_explain.py
+++ b/packages/ebonylb/tests/test_explain.py
@@ -240,7 +240,7 @@
 class TestHandler:
     @staticmethod
     def get(vm, query):
-        handler = MetricsHandler(InMemoryMetrics(), dict, vm.explainer.explain)
+        handler = MetricsHandler(InMemoryMetrics(), dict, dict, vm.explainer.explain)
         return handler.handle(make_mocked_request("GET", f"/explain?{query}"))
 
     def test_customers_are_named_and_keys_are_not(self):
@@ -274,6 +274,6 @@
         run_virtual(scenario())
 
     def test_other_paths_do_not_exist(self):
-        handler = MetricsHandler(InMemoryMetrics(), dict)
+        handler = MetricsHandler(InMemoryMetrics(), dict, dict)
         response = asyncio.run(handler.handle(make_mocked_request("GET", "/explain")))
         assert response.status == 404
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
@@ -186,6 +186,7 @@
     store: HttpStore = field(init=False)
     servers: dict[str, HttpServer] = field(default_factory=dict)
     server_addresses: dict[str, str] = field(default_factory=dict)
+    server_zones: dict[str, str] = field(default_factory=dict)
     vms: dict[str, EntryVmProcess] = field(default_factory=dict)
     resources: contextlib.AsyncExitStack = field(
         default_factory=contextlib.AsyncExitStack
@@ -250,6 +251,7 @@
 
     def register(self, server: HttpServer, zone: str, state: str = "ready") -> None:
         """Write the server's registration row to the store."""
+        self.server_zones[server.name] = zone
         entry = server.registration_row(self.server_addresses[server.name], zone, state)
         self.store.data.put("servers", server.name, entry)
 
@@ -326,7 +328,13 @@
         self, vm: EntryVmProcess
     ) -> tuple[int, bytes, dict[str, str]]:
         """Read the metrics page of an entry VM."""
-        async with self.http.get(f"http://{vm.ip}:{METRICS_PORT}/metrics") as response:
+        return await self.read_metrics_port(vm, "/metrics")
+
+    async def read_metrics_port(
+        self, vm: EntryVmProcess, path: str
+    ) -> tuple[int, bytes, dict[str, str]]:
+        """Read a page of the metrics address of an entry VM."""
+        async with self.http.get(f"http://{vm.ip}:{METRICS_PORT}{path}") as response:
             return response.status, await response.read(), dict(response.headers)
 
     def batch_body(
