--- a/packages/ebonylb/src/ebonylb/batches/holder_shares.py
+++ b/packages/ebonylb/src/ebonylb/batches/holder_shares.py
@@ -10,7 +10,7 @@
 from ..storage.store_time import StoreTime
 from .open_batches import START_TOGETHER_MS, OpenBatches
 from .progress_view import ObservedProgress
-from .slot_shares import EngineSlots, OpenBatch, share_slots
+from .slot_shares import EngineSlots, OpenBatch, customer_slots, share_slots
 from .slot_transfer import SlotTransfer
 
 logger = logging.getLogger(__name__)
@@ -42,6 +42,10 @@
     def slots_by_engine(self, service: str) -> Mapping[str, int] | None:
         """Return the slots by engine; others have none. None if there is no limit."""
 
+    def customer_slots(self, service: str) -> Mapping[str, int]:
+        """Return the slots of this entry VM's batches by customer, where known."""
+        return {}
+
 
 class NoSlotLimits(SlotLimits):
     """Engines whose slots nobody else uses."""
@@ -65,6 +69,8 @@
         Number of slots of all engines together.
     own_batches : frozenset of str
         Open batches of this entry VM.
+    customer_slots : dict of str to int
+        Slots due to this entry VM's batches by customer; empty without customers.
     provisional : bool
         Whether it counts batches that other holders may begin just now.
     generation : int
@@ -78,6 +84,7 @@
     holders: frozenset[str]
     slots: int
     own_batches: frozenset[str]
+    customer_slots: dict[str, int]
     provisional: bool
     generation: int
     computed_ms: float
@@ -91,10 +98,13 @@
 
     holders: int = 0
     own_slots: int | None = None
+    customers: int = 0
     logged_ms: float = field(default=-1e12)
 
-    def differs(self, holders: int, own_slots: int | None) -> bool:
+    def differs(self, holders: int, own_slots: int | None, customers: int) -> bool:
         """Return whether a change is worth a log line."""
+        if customers != self.customers:
+            return True
         if self.own_slots is None or own_slots is None:
             return self.own_slots is not own_slots
         change = abs(own_slots - self.own_slots)
@@ -179,6 +189,15 @@
             self.log_change(service, division, now)
         return division.own
 
+    def customer_slots(self, service: str) -> Mapping[str, int]:
+        """Return the slots of this entry VM's batches by customer, where known."""
+        self.slots_by_engine(service)
+        division = self.divisions.get(service)
+        rows_age_ms = self.clock.monotonic_ms() - self.follower.confirmed_ms
+        if division is None or rows_age_ms > WITHDRAWN_AFTER_MS:
+            return {}
+        return division.customer_slots
+
     def is_due(self, division: Division, now_ms: float) -> bool:
         """Return whether a division should be computed again."""
         if now_ms < division.next_ms:
@@ -199,9 +218,9 @@
         own_batches = frozenset(b.batch_id for b in batches if b.holder == self.name)
         transfer = self.begin_transfer(service, batches, engines, own_batches, now_ms)
         own: dict[str, int] | None = None
+        window = int(self.store_time.now_or_local_ms() // TURN_MS)
+        demand = [*batches, *expected]
         if len(holders) + len(expected) > 1 and self.name in holders and slots:
-            window = int(self.store_time.now_or_local_ms() // TURN_MS)
-            demand = [*batches, *expected]
             shares = share_slots(demand, engines, now_ms, window, with_spare=True)
             own = transfer.usable(shares.get(self.name, {}), engines, now_ms)
         duration_ms = self.clock.monotonic_ms() - now_ms
@@ -211,6 +230,7 @@
             holders,
             slots,
             own_batches,
+            customer_slots(self.name, demand, slots, now_ms, window),
             bool(expected),
             self.generation,
             now_ms,
@@ -247,7 +267,11 @@
     ) -> float:
         """Return when the same rows give other shares: at the next due time or turn."""
         due_ms = [b.due_ms for b in batches if b.due_ms > now_ms]
-        takes_turns = len(due_ms) < len(batches) or len(batches) > slots
+        takes_turns = (
+            len(due_ms) < len(batches)
+            or len(batches) > slots
+            or any(batch.customer for batch in batches)
+        )
         if takes_turns:
             store_ms = self.store_time.now_or_local_ms()
             due_ms.append(now_ms + TURN_MS - store_ms % TURN_MS)
@@ -259,12 +283,15 @@
             return
         own_slots = None if division.own is None else sum(division.own.values())
         logged = self.logged.setdefault(service, LoggedShares())
+        customers = len(division.customer_slots)
         if (
-            not logged.differs(len(division.holders), own_slots)
+            not logged.differs(len(division.holders), own_slots, customers)
             or now_ms - logged.logged_ms < MIN_LOG_INTERVAL_MS
         ):
             return
-        self.logged[service] = LoggedShares(len(division.holders), own_slots, now_ms)
+        self.logged[service] = LoggedShares(
+            len(division.holders), own_slots, customers, now_ms
+        )
         self.metrics.incr("slot_shares.changes")
         logger.info(
             "slot shares changed",
@@ -272,6 +299,7 @@
                 "service": service,
                 "in_force": own_slots is not None,
                 "holders": len(division.holders),
+                "customers": customers,
                 "own_slots": own_slots,
                 "slots": division.slots,
                 "rows_age_ms": round(now_ms - self.follower.confirmed_ms),
@@ -283,6 +311,8 @@
         gauges = {}
         for service in self.divisions:
             own = self.slots_by_engine(service)
+            if customers := self.customer_slots(service):
+                gauges[f"slot_shares.{service}.customers"] = float(len(customers))
             if own is None:
                 continue
             gauges[f"slot_shares.{service}.allowed"] = float(sum(own.values()))
--- a/packages/ebonylb/src/ebonylb/batches/item_run.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_run.py
@@ -87,7 +87,10 @@
             min_version=header.min_version,
             group=item.group,
             route=header.route,
+            customer=header.customer,
         )
+        if header.customer:
+            need.priority = self.lengths.routes.priority_of(header.customer, route)
         if state.software_version is not None:
             if self.directory.has_ready_version(service, state.software_version):
                 need.software_version = state.software_version
@@ -188,7 +191,7 @@
                 avoid = server.name
                 self.record_broken_run(server, state, error)
             finally:
-                self.placement.release(server)
+                self.placement.release(server, need.customer)
             if len(state.events) > events_before:
                 retry_ms = RETRY_MS
             else:
--- a/packages/ebonylb/src/ebonylb/batches/open_batches.py
+++ b/packages/ebonylb/src/ebonylb/batches/open_batches.py
@@ -115,10 +115,18 @@
                     items_for(route, service, unfinished),
                     self.seen[batch_id].due_ms,
                     self.weight_of(progress.header),
+                    progress.header.customer,
+                    self.priority_of(progress.header, route),
                 )
             )
         return batches
 
+    def priority_of(self, header: BatchHeader, route: Route) -> int:
+        """Return the order of a batch among those of its customer."""
+        if not header.customer:
+            return 0
+        return self.routes.priority_of(header.customer, route)
+
     def items_of_others(
         self, name: str, batches: Iterable[OpenBatch], min_age_ms: float
     ) -> int:
@@ -139,7 +147,7 @@
 
         Trainers that wait for the same event submit their steps at once, and the row of
         each step arrives after some 60 ms. Until then each holder of a recent batch is
-        expected to begin one like the new one.
+        expected to begin one like the new one, of a customer of its own.
         """
         new = [
             batch
@@ -156,7 +164,7 @@
         }
         missing = recent - {batch.holder for batch in batches} - {""}
         return [
-            replace(new[0], batch_id=f"expected/{holder}", holder=holder)
+            replace(new[0], batch_id=f"expected/{holder}", holder=holder, customer="")
             for holder in sorted(missing)
         ]
 
--- a/packages/ebonylb/src/ebonylb/batches/placement.py
+++ b/packages/ebonylb/src/ebonylb/batches/placement.py
@@ -10,6 +10,7 @@
 
 from ..fleet import ListedServer, ServerDirectory, ServerSelector
 from ..interfaces import Clock
+from .customer_order import CustomerOrder
 from .holder_shares import NoSlotLimits, SlotLimits
 
 logger = logging.getLogger(__name__)
@@ -54,6 +55,10 @@
         Name of the server that the item was moved away from or that failed it.
     route : str
         Name of the batch's route, whose texts have similar lengths.
+    customer : str
+        Customer of the batch; empty where there is none.
+    priority : int
+        Order among the items of the customer; 0 is the highest.
     """
 
     service: str
@@ -67,6 +72,8 @@
     group: str = ""
     avoid: str | None = None
     route: str = ""
+    customer: str = ""
+    priority: int = 0
 
     def server_criteria(self) -> tuple[object, ...]:
         """Return the fields that decide which servers may run the item."""
@@ -119,6 +126,7 @@
         self.selector = selector
         self.clock = clock
         self.slot_limits = slot_limits or NoSlotLimits()
+        self.customer_order = CustomerOrder(self.slot_limits)
         self.waiters: list[Waiter] = []
         self.arrival_numbers = itertools.count()
         self.group_servers: OrderedDict[str, str] = OrderedDict()
@@ -126,13 +134,16 @@
         directory.subscribe(self.grant_servers)
 
     async def acquire(self, need: ItemRequirements) -> ListedServer:
-        """Wait for a server and return it; the caller must `release` it."""
+        """Wait for a server and return it; the caller must `release` it.
+
+        The server counts as used by the customer of the item until then.
+        """
         waiter = self.enqueue(need)
         try:
             return await waiter.granted_server
         except asyncio.CancelledError:
             if waiter.granted_server.done() and not waiter.granted_server.cancelled():
-                self.release(waiter.granted_server.result())
+                self.release(waiter.granted_server.result(), need.customer)
             elif waiter in self.waiters:
                 self.waiters.remove(waiter)
             raise
@@ -149,14 +160,15 @@
         self.grant_servers()
         return waiter
 
-    def release(self, server: ListedServer) -> None:
+    def release(self, server: ListedServer, customer: str = "") -> None:
         """Return a server's slot and serve waiting items."""
+        self.customer_order.end(server.service, customer)
         condition = self.directory.condition(server.name)
         condition.own_requests = max(0, condition.own_requests - 1)
         self.grant_servers()
 
     def grant_servers(self) -> None:
-        """Assign servers to waiting items in order of priority.
+        """Assign servers to waiting items in order, customers taking turns.
 
         Schedules a retry if items remain in the queue.
         """
@@ -165,7 +177,7 @@
         # Servers only become fuller in this loop: when no server fits an item, none
         # fits the later items with the same criteria.
         unmet_criteria: set[tuple[object, ...]] = set()
-        for waiter in self.waiters:
+        for waiter in self.customer_order.arrange(self.waiters):
             if waiter.granted_server.cancelled():
                 continue
             forced = now - waiter.queued_ms > FORCE_AFTER_MS
@@ -181,9 +193,11 @@
                 continue
             self.directory.condition(server.name).own_requests += 1
             self.selector.limits.reserve(server)
+            self.customer_order.begin(waiter.need)
             if waiter.need.group:
                 self.remember_group(waiter.need.group, server.name)
             waiter.granted_server.set_result(server)
+        still_waiting.sort(key=lambda w: w.sort_key)
         self.waiters = still_waiting
         if self.selector.limits.in_force:
             self.selector.limits.record_waiting(
--- a/packages/ebonylb/src/ebonylb/batches/slot_shares.py
+++ b/packages/ebonylb/src/ebonylb/batches/slot_shares.py
@@ -1,4 +1,4 @@
-"""Division of the slots of a service's engines among the holders of open batches.
+"""Division of the slots of a service's engines among customers and holders of batches.
 
 All functions are pure and compute with integers only, so that every entry VM gets the
 same shares from the same rows.
@@ -19,6 +19,9 @@
 # Consecutive windows shift the phase of rounding by the golden ratio of its range, so
 # that a batch with a fraction of a slot is not passed over for long.
 GOLDEN_RATIO = 0.618_033_988_749_895
+# Batches of a customer take turns by another irrational number. With the same one, a
+# customer that has a slot in some windows would give it to the same batch each time.
+ROOT_OF_TWO = 0.414_213_562_373_095
 HASH_BITS = 32
 
 Shares = dict[str, dict[str, int]]
@@ -38,6 +41,10 @@
         Time at which the batch is due, by the same clock as the time of the division.
     weight : float
         Share of the batch relative to that of the others.
+    customer : str
+        Customer who submitted it; empty if it counts by itself.
+    priority : int
+        Order among the batches of the customer; 0 is the highest.
     """
 
     batch_id: str
@@ -45,6 +52,8 @@
     unfinished: int
     due_ms: float
     weight: float = 1.0
+    customer: str = ""
+    priority: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,7 +113,7 @@
     """
     slots = sum(engine.slots for engine in engines)
     totals: Counter[str] = Counter()
-    slots_of_batches = divide_among_batches(batches, slots, now_ms, window)
+    slots_of_batches = divide_among_customers(batches, slots, now_ms, window)
     for batch in batches:
         if batch_slots := slots_of_batches.get(batch.batch_id):
             totals[batch.holder] += batch_slots
@@ -114,8 +123,70 @@
     return spread_over_engines(totals, engines)
 
 
-def divide_among_batches(
+def divide_among_customers(
     batches: Sequence[OpenBatch], slots: int, now_ms: float, window: int
+) -> dict[str, int]:
+    """Return the number of slots of each batch, max-min fair among customers first.
+
+    Whether batches are overdue and their priorities matter only within the share of
+    their customer. Otherwise a customer that submits new batches all the time would
+    keep out another one whose batches have become overdue.
+    """
+    if not any(batch.customer for batch in batches):
+        return divide_among_batches(batches, slots, now_ms, window)
+    by_owner: dict[str, list[OpenBatch]] = {}
+    for batch in batches:
+        if batch.unfinished > 0:
+            by_owner.setdefault(owner_of(batch), []).append(batch)
+    demands = [
+        Demand(
+            owner,
+            sum(batch.unfinished for batch in owned),
+            max(1, round(max(batch.weight for batch in owned) * WEIGHT_UNIT)),
+        )
+        for owner, owned in by_owner.items()
+    ]
+    shares: dict[str, int] = {}
+    for owner, left in divide(demands, slots, window).items():
+        owned = by_owner[owner]
+        for priority in sorted({batch.priority for batch in owned}):
+            level = [batch for batch in owned if batch.priority == priority]
+            level_shares = divide_among_batches(
+                level, left, now_ms, window, ROOT_OF_TWO
+            )
+            shares |= level_shares
+            left -= sum(level_shares.values())
+    return shares
+
+
+def owner_of(batch: OpenBatch) -> str:
+    """Return the participant of the division to which a batch belongs."""
+    return f"customer/{batch.customer}" if batch.customer else f"batch/{batch.batch_id}"
+
+
+def customer_slots(
+    holder: str,
+    batches: Sequence[OpenBatch],
+    slots: int,
+    now_ms: float,
+    window: int,
+) -> dict[str, int]:
+    """Return the slots of a holder's batches by customer; empty without customers."""
+    totals: Counter[str] = Counter()
+    if any(batch.customer for batch in batches if batch.holder == holder):
+        shares = divide_among_customers(batches, slots, now_ms, window)
+        for batch in batches:
+            if batch.holder == holder and batch.unfinished > 0:
+                totals[batch.customer] += shares.get(batch.batch_id, 0)
+    return dict(totals)
+
+
+def divide_among_batches(
+    batches: Sequence[OpenBatch],
+    slots: int,
+    now_ms: float,
+    window: int,
+    ratio: float = GOLDEN_RATIO,
 ) -> dict[str, int]:
     """Return the max-min fair number of slots of each batch.
 
@@ -132,14 +203,16 @@
             (on_time if batch.due_ms > now_ms else overdue).append(demand)
     spare = slots - sum(demand.slots for demand in on_time)
     if not overdue or spare > 0:
-        shares = divide(on_time, slots, window)
-        return shares | divide(overdue, max(0, spare), window)
+        shares = divide(on_time, slots, window, ratio)
+        return shares | divide(overdue, max(0, spare), window, ratio)
     turn = sorted(demand.name for demand in overdue)[window % len(overdue)]
     on_time.append(Demand(turn, 1, WEIGHT_UNIT))
-    return divide(on_time, slots, window)
+    return divide(on_time, slots, window, ratio)
 
 
-def divide(demands: Sequence[Demand], slots: int, window: int) -> dict[str, int]:
+def divide(
+    demands: Sequence[Demand], slots: int, window: int, ratio: float = GOLDEN_RATIO
+) -> dict[str, int]:
     """Divide slots max-min fairly by weight; nobody gets more than its demand."""
     shares: dict[str, int] = {}
     weight = sum(demand.weight for demand in demands)
@@ -152,11 +225,11 @@
         shares[demand.name] = demand.slots
         slots -= demand.slots
         weight -= demand.weight
-    return shares | divide_by_weight(limited, slots, window)
+    return shares | divide_by_weight(limited, slots, window, ratio)
 
 
 def divide_by_weight(
-    demands: Sequence[Demand], slots: int, window: int
+    demands: Sequence[Demand], slots: int, window: int, ratio: float
 ) -> dict[str, int]:
     """Divide slots in proportion to weights, each share rounded up or down.
 
@@ -167,7 +240,7 @@
     """
     weight = sum(demand.weight for demand in demands)
     in_turns = any(slots * demand.weight < weight for demand in demands)
-    position = int(window * GOLDEN_RATIO % 1 * weight) if in_turns else 0
+    position = int(window * ratio % 1 * weight) if in_turns else 0
     shares = {}
     for demand in sorted(demands, key=lambda d: (hash_of(d.name), d.name)):
         whole, fraction = divmod(slots * demand.weight, weight)
