--- a/packages/ebonylb/src/ebonylb/platform/ingress.py
+++ b/packages/ebonylb/src/ebonylb/platform/ingress.py
@@ -1,7 +1,6 @@
 """HTTP interface to callers and to the load balancer."""
 
 import asyncio
-import contextlib
 import logging
 from dataclasses import replace
 from typing import Any
@@ -17,14 +16,17 @@
 from ..forwarding import CallerRequest, CallerResponse, CallerStream, Forwarder
 from ..forwarding.messages import make_refusal
 from ..interfaces import Clock
-from ..outcomes import Outcome, Refusal, StepError
+from ..outcomes import Outcome, Refusal
 from ..routes import Route, RouteKind
+from ..service.held_bytes import RETRY_AFTER_MS as NO_MEMORY_RETRY_AFTER_MS
+from ..service.held_bytes import HeldBytes
 from ..service.readiness import Readiness
 from ..service.uploads import Uploads
 from . import wire_names
 from .batch_wire import decode_batch, encode_results
 from .identity_headers import replace_identity
 from .numbers import parse_count, parse_milliseconds
+from .response_writing import ResponseWriter
 
 logger = logging.getLogger(__name__)
 
@@ -42,6 +44,12 @@
     "this entry VM leaves before the body has arrived; send it to another one",
     RETRY_ELSEWHERE_MS,
 )
+NO_MEMORY = Refusal(
+    Outcome.NOT_RUN,
+    "memory",
+    "this entry VM holds too much for slow callers; send it to another one",
+    NO_MEMORY_RETRY_AFTER_MS,
+)
 STATUS_BY_REASON = {
     "no_batch": 404,
     "malformed": 400,
@@ -96,6 +104,8 @@
         Reads request bodies.
     key_check : KeyCheck
         Identifies the customers of callers.
+    held : HeldBytes or None
+        Bounds what is held for slow callers; None for no bound.
     """
 
     def __init__(
@@ -106,6 +116,7 @@
         clock: Clock,
         uploads: Uploads,
         key_check: KeyCheck,
+        held: HeldBytes | None = None,
     ) -> None:
         self.forwarder = forwarder
         self.batches = batches
@@ -113,6 +124,8 @@
         self.clock = clock
         self.uploads = uploads
         self.key_check = key_check
+        self.held = held
+        self.writer = ResponseWriter(held)
 
     async def handle_ready(self, request: web.BaseRequest) -> web.StreamResponse:
         """Respond to a readiness check of the load balancer."""
@@ -201,8 +214,25 @@
     async def handle_request(
         self, request: web.BaseRequest, path: str, received_ms: float
     ) -> web.StreamResponse:
-        """Forward a single request, or submit a batch."""
+        """Forward a single request or submit a batch, once its body may be held."""
         request_id = request.headers.get(wire_names.REQUEST_ID, "")
+        if self.held is None:
+            return await self.handle_body(request, request_id, path, received_ms)
+        # The body, and its copy in the write buffer of a server that reads it slowly.
+        size = 2 * (request.content_length or 0)
+        if not await self.held.wait_for_upload(size):
+            return self.build_refusal_response(NO_MEMORY, request_id)
+        with self.held.hold(size):
+            return await self.handle_body(request, request_id, path, received_ms)
+
+    async def handle_body(
+        self,
+        request: web.BaseRequest,
+        request_id: str,
+        path: str,
+        received_ms: float,
+    ) -> web.StreamResponse:
+        """Forward a single request, or submit a batch."""
         try:
             body = await self.uploads.read(request.read)
         except HTTPRequestEntityTooLarge:
@@ -238,6 +268,10 @@
             return self.build_refusal_response(
                 response.refusal, request_id, response.status, should_log=False
             )
+        if self.writer.is_large(response):
+            return await self.writer.write_large(
+                request, response, closes=self.readiness.leaving
+            )
         web_response = web.Response(status=response.status, body=response.body)
         web_response.headers.clear()
         for name, value in response.headers:
@@ -264,26 +298,7 @@
         self, request: web.BaseRequest, stream: CallerStream
     ) -> web.StreamResponse:
         """Forward a stream; a broken stream ends without the final chunk."""
-        response = web.StreamResponse(status=stream.status)
-        for name, value in stream.headers:
-            response.headers.add(name, value)
-        response.enable_chunked_encoding()
-        try:
-            await response.prepare(request)
-            # Closed immediately if the caller disconnects, so that the backend server
-            # stops its work.
-            async with contextlib.aclosing(stream.chunks) as chunks:
-                async for chunk in chunks:
-                    await response.write(chunk)
-        except StepError as error:
-            logger.info("stream ended early", extra={"cause": str(error)})
-            if request.transport is not None:
-                request.transport.abort()
-            raise asyncio.CancelledError from error
-        finally:
-            stream.abandon()
-        await response.write_eof()
-        return response
+        return await self.writer.write_stream(request, stream)
 
     async def submit_batch(self, message: CallerRequest, route: str) -> web.Response:
         """Submit the batch in a request and return the response."""
--- a/packages/ebonylb/src/ebonylb/platform/node_settings.py
+++ b/packages/ebonylb/src/ebonylb/platform/node_settings.py
@@ -27,6 +27,7 @@
     "ReportWindowS": ("report_window_ms", 1_000),
     "UsageLateS": ("usage_late_ms", 1_000),
 }
+BYTES_PER_MB = 1_000_000
 BOOLEANS = {"true": True, "false": False}
 
 
@@ -82,6 +83,11 @@
             fields["relay_address"] = f"{values['Ip']}:{first_port}"
     if (row_bytes := values.get("Platform.RowBytes")) is not None:
         fields["row_bytes"] = int(row_bytes)
+    if (text := values.get("Limits.MemoryMb")) is not None:
+        try:
+            fields["memory_bytes"] = max(0, int(float(text) * BYTES_PER_MB))
+        except (ValueError, OverflowError):
+            return Err(f"{path}: Limits.MemoryMb={text!r} is not a number")
     fields["bounds"] = bounds
     fields["control_plane_address"] = values.get("Cloud.Address", "")
     duties = values.get("Cloud.Duties", "").split(",")
--- a/packages/ebonylb/src/ebonylb/platform/row_decoding.py
+++ b/packages/ebonylb/src/ebonylb/platform/row_decoding.py
@@ -241,6 +241,7 @@
         routes=tuple(route.decode() for route in wire.Routes),
         services=services,
         max_body_bytes=wire.Limits.MaxBodyBytes,
+        idle_timeout_ms=wire.Limits.IdleTimeoutMs,
         customers=customers,
         customers_by_key=customers_by_key,
     )
--- a/packages/ebonylb/src/ebonylb/platform/servers.py
+++ b/packages/ebonylb/src/ebonylb/platform/servers.py
@@ -26,6 +26,7 @@
     VersionOrder,
 )
 from ..outcomes import StepError
+from ..service.held_bytes import HeldBytes
 from . import wire_names
 from .event_stream import EventDecoder
 from .numbers import parse_count, parse_rate
@@ -131,15 +132,23 @@
 class HttpServerResponse(ServerResponse):
     """Response that is read from an open connection."""
 
-    def __init__(self, response: aiohttp.ClientResponse, peer: str) -> None:
+    def __init__(
+        self, response: aiohttp.ClientResponse, peer: str, held: HeldBytes | None
+    ) -> None:
         self.response = response
         self.peer = peer
+        self.held = held
         self.head = decode_head(response)
 
     async def body(self) -> bytes:
-        """Read the complete body."""
+        """Read the complete body, once it may be held."""
         try:
-            return await read_body(self.response, MAX_BODY_BYTES)
+            if self.held is None:
+                return await read_body(self.response, MAX_BODY_BYTES)
+            size = self.response.content_length or 0
+            await self.held.wait_for_answer(size)
+            with self.held.hold(size):
+                return await read_body(self.response, MAX_BODY_BYTES)
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise StepError("server.body", self.peer, describe_error(error)) from error
 
@@ -180,10 +189,15 @@
     session : aiohttp.ClientSession
         Owned by the caller; must not add default headers and must be traced with
         `trace_connections`.
+    held : HeldBytes or None
+        Bounds the bodies that are held; None for no bound.
     """
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self, session: aiohttp.ClientSession, held: HeldBytes | None = None
+    ) -> None:
         self.session = session
+        self.held = held
 
     async def open(
         self, server: ServerAddress, request: ServerRequest
@@ -221,7 +235,7 @@
                     f"response to request {echoed} instead of {request.request_id}",
                 )
             )
-        return Ok(HttpServerResponse(response, server.name))
+        return Ok(HttpServerResponse(response, server.name, self.held))
 
     def build_headers(
         self, server: ServerAddress, request: ServerRequest
--- a/packages/ebonylb/src/ebonylb/routes/model.py
+++ b/packages/ebonylb/src/ebonylb/routes/model.py
@@ -145,6 +145,8 @@
 
     Parameters
     ----------
+    idle_timeout_ms : float
+        Time after which a caller that takes nothing of a response is disconnected.
     customers : dict of str to Customer
         Customers by name; empty where callers need no key.
     customers_by_key : dict of str to Customer
@@ -155,6 +157,7 @@
     routes: tuple[Route, ...]
     services: dict[str, ServiceSpec] = field(default_factory=dict)
     max_body_bytes: int = 33_554_432
+    idle_timeout_ms: float = 15_000
     customers: dict[str, Customer] = field(default_factory=dict)
     customers_by_key: dict[str, Customer] = field(default_factory=dict, repr=False)
 
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -42,6 +42,7 @@
 from ..telemetry.bounded_logs import BoundedLineHandler
 from .caller_drain import CallerDrain
 from .duty_components import DutyPlan
+from .held_bytes import HeldBytes
 from .metrics_handler import MetricsHandler
 from .readiness import Readiness
 from .reload import SettingsReload
@@ -112,7 +113,13 @@
         server_session = await self.open_session(trace_connections())
         relay_session = await self.open_session(trace_connections())
         self.store = PlatformRowStore(store_session, self.settings.store_address)
-        self.server_client = HttpServerClient(server_session)
+        self.held = HeldBytes(
+            self.clock,
+            self.metrics,
+            self.settings.memory_bytes,
+            self.read_idle_timeout_ms,
+        )
+        self.server_client = HttpServerClient(server_session, self.held)
         locality = Locality(
             self.settings.failure_domain, self.settings.region, self.settings.regions
         )
@@ -145,7 +152,7 @@
         self.start_background_tasks(
             self.create_platform_followers()
             | self.components.background_tasks()
-            | {"settings": self.reload.run}
+            | {"settings": self.reload.run, "idle callers": self.held.disconnect_idle}
         )
         await self.listen()
         logger.info(
@@ -227,6 +234,11 @@
             components.scaling.followers = list(self.readiness.followers)
         return {f"follow {follower.table}": follower.run for follower in followers}
 
+    def read_idle_timeout_ms(self) -> float:
+        """Return the time after which a caller that takes nothing is disconnected."""
+        configuration = self.components.routes.configuration
+        return configuration.idle_timeout_ms if configuration else float("inf")
+
     def apply_settings(self, settings: SiteSettings) -> None:
         """Apply settings that changed while the process runs."""
         self.settings = settings
@@ -254,6 +266,7 @@
             "logs.dropped": self.log_handler.dropped_count if self.log_handler else 0,
             **components.holder_shares.gauges(),
             **components.admission.admission.gauges(),
+            **self.held.gauges(),
             **(components.duties.read_gauges() if components.duties else {}),
         }
 
@@ -266,6 +279,7 @@
             self.clock,
             self.uploads,
             self.components.key_check,
+            self.held,
         )
         metrics_handler = MetricsHandler(self.metrics, self.read_gauges)
         self.relay_handler = RelayHandler(self.components.relay_receiver.serve)
--- a/packages/ebonylb/src/ebonylb/service/site_settings.py
+++ b/packages/ebonylb/src/ebonylb/service/site_settings.py
@@ -69,6 +69,8 @@
         ``ip:port`` of the metrics page; empty to disable it.
     row_bytes : int
         Maximum size of a row value in the store.
+    memory_bytes : int
+        Memory limit of the process; 0 if unknown.
     bounds : Bounds
         Time limits agreed with the platform.
     control_plane_address : str
@@ -90,6 +92,7 @@
     relay_address: str = ""
     metrics_address: str = ""
     row_bytes: int = 65_536
+    memory_bytes: int = 0
     bounds: Bounds = Bounds()
     control_plane_address: str = ""
     duties: tuple[str, ...] = ()
