--- a/packages/ebonylb/src/ebonylb/admission/fair_level.py
+++ b/packages/ebonylb/src/ebonylb/admission/fair_level.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 
 # Servers that refused something within this time are taken to lack room. The level
-# grows twofold in this time, so that a lasting overload is noticed again before.
+# grows several times in this time, so that a lasting overload is noticed again before.
 RECENT_REFUSAL_MS = 3_000.0
 # Interval of the changes of the level; some ten requests of a plain service.
 STEP_MS = 200.0
@@ -16,7 +16,7 @@
 # The level follows the share of refused attempts down, at most by this factor an
 # interval, and grows by the other one.
 MIN_STEP_FACTOR = 0.7
-GROWTH = 1.1
+GROWTH = 1.15
 # Above this multiple of the largest customer's load the level limits nobody, and is
 # found anew at the next lack of room.
 MAX_HEADROOM = 2.0
