--- a/packages/ebonylb/src/ebonylb/batches/item_run.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_run.py
@@ -88,7 +88,10 @@
             group=item.group,
             route=header.route,
             prompt_tokens=item.prompt_tokens,
+            customer=header.customer,
         )
+        if header.customer:
+            need.priority = self.lengths.routes.priority_of(header.customer, route)
         if state.software_version is not None:
             if self.directory.has_ready_version(service, state.software_version):
                 need.software_version = state.software_version
--- a/packages/ebonylb/src/ebonylb/batches/placement.py
+++ b/packages/ebonylb/src/ebonylb/batches/placement.py
@@ -10,6 +10,7 @@
 
 from ..fleet import ListedServer, ServerCost, ServerDirectory, ServerSelector
 from ..interfaces import Clock
+from .customer_order import CustomerOrder
 from .holder_shares import NoSlotLimits, SlotLimits
 from .prompt_load import PromptLoad
 
@@ -57,6 +58,10 @@
         Name of the batch's route, whose texts have similar lengths.
     prompt_tokens : int
         Length of the prompt; 0 if it is unknown.
+    customer : str
+        Customer of the batch; empty where there is none.
+    priority : int
+        Order among the items of the customer; 0 is the highest.
     """
 
     service: str
@@ -71,6 +76,8 @@
     avoid: str | None = None
     route: str = ""
     prompt_tokens: int = 0
+    customer: str = ""
+    priority: int = 0
 
     def server_criteria(self) -> tuple[object, ...]:
         """Return the fields that decide which servers may run the item."""
@@ -123,6 +130,7 @@
         self.selector = selector
         self.clock = clock
         self.slot_limits = slot_limits or NoSlotLimits()
+        self.customer_order = CustomerOrder(self.slot_limits)
         self.waiters: list[Waiter] = []
         self.arrival_numbers = itertools.count()
         self.group_servers: OrderedDict[str, str] = OrderedDict()
@@ -131,7 +139,10 @@
         directory.subscribe(self.grant_servers)
 
     async def acquire(self, need: ItemRequirements) -> ListedServer:
-        """Wait for a server and return it; the caller must `release` it."""
+        """Wait for a server and return it; the caller must `release` it.
+
+        The server counts as used by the customer of the item until then.
+        """
         waiter = self.enqueue(need)
         try:
             return await waiter.granted_server
@@ -164,12 +175,13 @@
         """Return a server's slot and serve waiting items."""
         if need is not None:
             self.prompt_load.end(need)
+            self.customer_order.end(need.service, need.customer)
         condition = self.directory.condition(server.name)
         condition.own_requests = max(0, condition.own_requests - 1)
         self.grant_servers()
 
     def grant_servers(self) -> None:
-        """Assign servers to waiting items in order of priority.
+        """Assign servers to waiting items in order, customers taking turns.
 
         Schedules a retry if items remain in the queue.
         """
@@ -178,7 +190,7 @@
         # Servers only become fuller in this loop: when no server fits an item, none
         # fits the later items with the same criteria.
         unmet_criteria: set[tuple[object, ...]] = set()
-        for waiter in self.waiters:
+        for waiter in self.customer_order.arrange(self.waiters):
             if waiter.granted_server.cancelled():
                 continue
             forced = now - waiter.queued_ms > FORCE_AFTER_MS
@@ -196,6 +208,7 @@
                 still_waiting.append(waiter)
                 continue
             self.grant(waiter, server)
+        still_waiting.sort(key=lambda w: w.sort_key)
         self.waiters = still_waiting
         if self.selector.limits.in_force:
             self.selector.limits.record_waiting(
@@ -211,6 +224,7 @@
         need = waiter.need
         self.directory.condition(server.name).own_requests += 1
         self.selector.limits.reserve(server)
+        self.customer_order.begin(need)
         self.prompt_load.begin(
             server,
             need,
