--- a/packages/ebonylb_standins/tests/test_soak.py
+++ b/packages/ebonylb_standins/tests/test_soak.py
@@ -16,8 +16,9 @@
     244,  # a timeout of the HTTP library swallowed a cancellation after a pause
 )
 SHORT_S, REGRESSION_S = 6.0, 12.0
-# Each run uses its own addresses: 127.0.0.N and the next three.
-SHORT_IP, REGRESSION_IP, BROKEN_IP, PAIR_IP = 200, 240, 205, 225
+# Each run uses its own addresses: 127.0.0.0 plus N and the next three. Those of tests
+# of sites, which may run at the same time, are below 256.
+SHORT_IP, REGRESSION_IP, BROKEN_IP, PAIR_IP = 200, 620, 205, 600
 
 
 @pytest.mark.xdist_group("soak")
