--- a/packages/ebonylb/src/ebonylb/routes/model.py
+++ b/packages/ebonylb/src/ebonylb/routes/model.py
@@ -157,9 +157,9 @@
     routes: tuple[Route, ...]
     services: dict[str, ServiceSpec] = field(default_factory=dict)
     max_body_bytes: int = 33_554_432
-    idle_timeout_ms: float = 15_000
     customers: dict[str, Customer] = field(default_factory=dict)
     customers_by_key: dict[str, Customer] = field(default_factory=dict, repr=False)
+    idle_timeout_ms: float = 15_000
 
     @property
     def has_customers(self) -> bool:
