--- a/packages/ebonylb/tests/test_usage.py
+++ b/packages/ebonylb/tests/test_usage.py
@@ -66,6 +66,25 @@
         store_time.record(7_000_000.0)
         return clock, AgreedTime("a", clock, store_time, lambda: offsets)
 
+    def test_delayed_responses_of_the_store_do_not_move_it(self):
+        """The load: a slow store, or a busy entry VM that reads responses late.
+
+        Guards against requests that are counted in the window before their own.
+        """
+
+        async def scenario():
+            clock = MachineClock()
+            store_time = StoreTime(clock)
+            agreed = AgreedTime("a", clock, store_time, dict)
+            for second in range(60):
+                delay_ms = 2.0 if second % 20 == 0 else 60.0 + 37 * second % 190
+                store_time.record(clock.monotonic_ms() + 7e6 - delay_ms)
+                if second > 2:
+                    assert abs(agreed.now_ms() - clock.wall_ms()) <= 25
+                await clock.sleep_ms(1_000)
+
+        run_virtual(scenario())
+
     @pytest.mark.parametrize("others", [{}, {"b": -7e6}, {"b": -7e6, "c": -7e6}])
     def test_a_jump_of_the_own_wall_clock_is_ignored(self, others):
         async def scenario():
