--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
 cd "$here/../.."
 export TROUBLE="${TROUBLE:-1}"
 export PYTHONPATH=target/deps:target/review
-exec python3 target/review/case_text.py "$here"
+exec python3 target/review/case_sigterm.py "$here"
--- a/review/standins/review_site.py
+++ b/review/standins/review_site.py
@@ -104,6 +104,7 @@
         """Set the record and the state; return the replica."""
         self.note = note
         self.at_work = {}
+        self.transports = set()
         self.born = time.time_ns() // 1_000_000
         return self
 
@@ -133,9 +134,10 @@
         self.run_counts[request_id] += 1
         self.running += 1
         self.at_work[request_id] = time.monotonic()
+        self.transports.add(request.transport)
         how = "is left by the sender's close"
         try:
-            if self.service == "lm":
+            if self.models:
                 response = await self.stream(request, request_id, headers, amount)
             else:
                 await asyncio.sleep(amount / 1_000)
@@ -145,6 +147,7 @@
         finally:
             self.running -= 1
             del self.at_work[request_id]
+            self.transports.discard(request.transport)
             self.note(f"{self.name} run of {request_id} {how}")
 
     async def stream(self, request, request_id, headers, total):
