--- a/review/standins/review_site.py
+++ b/review/standins/review_site.py
@@ -104,7 +104,7 @@
         """Set the record and the state; return the replica."""
         self.note = note
         self.at_work = {}
-        self.transports = set()
+        self.transports, self.listed = set(), set()
         self.born = time.time_ns() // 1_000_000
         return self
 
@@ -132,6 +132,8 @@
         amount = int(request.path.rsplit("/", 1)[-1])
         self.note(f"{self.name} begins to run {request_id} {request.path}")
         self.run_counts[request_id] += 1
+        if request.path.startswith("/list/"):
+            self.listed.add(request_id)
         self.running += 1
         self.at_work[request_id] = time.monotonic()
         self.transports.add(request.transport)
