--- a/packages/ebonylb/src/ebonylb/platform/event_stream.py
+++ b/packages/ebonylb/src/ebonylb/platform/event_stream.py
@@ -1,4 +1,10 @@
-"""Decoder of the event streams that model servers send."""
+"""Decoder of the event streams that model servers send.
+
+A line of the format `text/event-stream` ends with CR LF, LF or CR and with nothing
+else, and an event ends with an empty line.
+"""
+
+import re
 
 from ..interfaces.server_client import StreamEvent
 from ..outcomes import StepError
@@ -9,19 +15,18 @@
 MAX_EVENT_BYTES = 1_000_000
 
 
+# Two line ends in a row. CR LF is one line end: CR is a whole one only before CR.
+EVENT_END = re.compile(rb"\n(?:\n|\r\n?)|\r\r\n?")
+
+
 def find_event_end(buffer: bytes, start: int = 0) -> int:
     """Return the end of the first complete event with its blank line, or 0.
 
     Nothing behind that event is searched, so that many small events in one buffer take
     a time that grows with their number only.
     """
-    line_feed_end = buffer.find(b"\n\n", start)
-    carriage_return_end = buffer.find(
-        b"\r\n\r\n", start, line_feed_end if line_feed_end >= 0 else len(buffer)
-    )
-    if carriage_return_end >= 0:
-        return carriage_return_end + 4
-    return line_feed_end + 2 if line_feed_end >= 0 else 0
+    found = EVENT_END.search(buffer, start)
+    return found.end() if found else 0
 
 
 def decode_event(block: bytes, step: str, peer: str) -> StreamEvent | None:
@@ -36,9 +41,9 @@
     version: int | None = None
     data: list[str] = []
     try:
-        lines = block.decode().splitlines()
-        for line in lines:
-            field, _, value = line.partition(":")
+        # `str.splitlines` would also split the text at U+2028 and other separators.
+        for line in block.splitlines():
+            field, _, value = line.decode().partition(":")
             value = value.removeprefix(" ")
             if field == "id":
                 number = int(value)
--- a/packages/ebonylb/src/ebonylb/platform/node_settings.py
+++ b/packages/ebonylb/src/ebonylb/platform/node_settings.py
@@ -34,7 +34,7 @@
 def parse_lines(text: str) -> dict[str, str]:
     """Return the keys and values of a settings file; skip all other lines."""
     values = {}
-    for line in text.splitlines():
+    for line in text.split("\n"):
         key, separator, value = line.partition("=")
         if separator:
             values[key.strip()] = value.strip()
--- a/packages/ebonylb/tests/test_platform_adapter.py
+++ b/packages/ebonylb/tests/test_platform_adapter.py
@@ -6,7 +6,7 @@
 
 import msgspec
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 from result import Err
 
@@ -212,6 +212,12 @@
 
 
 class TestEvents:
+    EVENT_ENDS = tuple(
+        first + second
+        for first in (b"\n", b"\r\n", b"\r")
+        for second in (b"\n", b"\r\n", b"\r")
+        if first + second != b"\r\n"
+    )
     STREAM = b"".join(
         b"ebonylb-weight-versions: 2\nid: %d\ndata: text %d\n\n" % (n, n)
         for n in range(1, 6)
@@ -238,6 +244,36 @@
         with pytest.raises(StepError):
             decoder.finish()
 
+    @given(data=st.text(st.characters(exclude_characters="\r\n", codec="utf-8")))
+    @example("Mix the primer\u2028then the decal.")
+    @example("Parts:\u2028id: 40")
+    @example("\v\f\x1c\x1d\x1e\x85\u2029")
+    def test_data_is_kept_whole(self, data):
+        """Guards against text that is lost after a separator that ends no line."""
+        block = f"id: 3\ndata: {data}\n\n".encode()
+        ((event, forwarded),) = EventDecoder("step", "peer").feed(block)
+        assert (event.number, event.data) == (3, data)
+        assert forwarded == block
+
+    @given(
+        line_end=st.sampled_from([b"\n", b"\r\n", b"\r"]),
+        event_ends=st.lists(st.sampled_from(EVENT_ENDS), min_size=2, max_size=2),
+        size=st.integers(1, 60),
+    )
+    def test_each_line_end_of_the_format_is_read(self, line_end, event_ends, size):
+        """Guards against events that are joined, or that never end at a CR."""
+        stream = b"".join(
+            b"id: %d" % n + line_end + b"data: text %d" % n + event_end
+            for n, event_end in enumerate(event_ends, 1)
+        )
+        decoder = EventDecoder("step", "peer")
+        decoded = []
+        for start in range(0, len(stream), size):
+            decoded += decoder.feed(stream[start : start + size])
+        decoder.finish()
+        events = [(event.number, event.data) for event, _ in decoded]
+        assert events == [(1, "text 1"), (2, "text 2")]
+
     @pytest.mark.parametrize("block", [b"id: x\n\n", b"data: a\n\n", b"id: \xff\n\n"])
     def test_malformed_event_is_an_error(self, block):
         """Guards against events without a valid number that are forwarded."""
@@ -306,6 +342,12 @@
         assert settings.bounds.grace_ms == 6_000
         assert settings.metrics_address == "10.0.0.1:9464"
 
+    def test_a_value_is_read_to_the_end_of_its_line(self, tmp_path):
+        """Guards against values cut at a separator that ends no line of the file."""
+        path = tmp_path / "node.conf"
+        path.write_text(self.LINES.replace("Node=a", "Node=a\u2028b"), "utf-8")
+        assert read_node_settings(str(path)).ok_value.name == "a\u2028b"
+
     @pytest.mark.parametrize("missing", ["Node", "Region", "Platform.Address"])
     def test_error_names_the_missing_field(self, tmp_path, missing):
         """Guards against settings with missing fields whose error gives no key."""
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_servers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_servers.py
@@ -30,8 +30,11 @@
 
 
 def event_text(request_id: str, number: int) -> str:
-    """Return the data of an event, which does not depend on the server."""
-    return f"{request_id}/{number}"
+    """Return the data of an event, which does not depend on the server.
+
+    It has separators that end no line of an event stream.
+    """
+    return f"{request_id}/\u2028\x85{number}"
 
 
 @dataclass
