--- a/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/forwarder.py
@@ -5,9 +5,10 @@
 
 from ..admission import FairAdmission, Ticket
 from ..interfaces import Clock
-from ..outcomes import Outcome
+from ..outcomes import Outcome, Refusal
 from ..routes import Route, RouteTable, choose_target
 from .deadline import RESPONSE_MARGIN_MS, Runs, run_within_deadline
+from .last_requests import LEAVING, LastRequests
 from .messages import CallerRequest, CallerResponse, CallerStream, make_refusal
 from .request_log import RequestLog
 from .request_state import RequestState
@@ -33,6 +34,8 @@
         Source of time.
     log : RequestLog
         Logs the end of each request.
+    last_requests : LastRequests
+        Refuses requests that may not end before this entry VM stops.
     admission : FairAdmission or None
         Refuses requests of customers beyond their share while servers lack room; None
         to admit all.
@@ -45,6 +48,7 @@
         strikes: CrashStrikes,
         clock: Clock,
         log: RequestLog,
+        last_requests: LastRequests,
         admission: FairAdmission | None = None,
     ) -> None:
         self.routes = routes
@@ -52,6 +56,7 @@
         self.strikes = strikes
         self.clock = clock
         self.log = log
+        self.last_requests = last_requests
         self.admission = admission
 
     def find_route(self, request: CallerRequest) -> Route | CallerResponse:
@@ -75,13 +80,13 @@
     ) -> CallerResponse | CallerStream:
         """Run a request and return its final response, which may be a refusal."""
         state = self.begin(request, route)
+        if not self.last_requests.accepts(state.deadline_at_ms):
+            return self.refuse(state, LEAVING)
         if self.admission is None:
             return await self.run_and_log(state)
         ticket = self.admission.admit(state.service, request.customer, state.priority)
         if not isinstance(ticket, Ticket):
-            response = CallerResponse(NOT_RUN_STATUS, refusal=ticket)
-            self.log.log_end(state, response)
-            return response
+            return self.refuse(state, ticket)
         end = functools.partial(self.admission.end, ticket)
         response = None
         try:
@@ -93,6 +98,12 @@
             response.call_at_end(end)
         return response
 
+    def refuse(self, state: RequestState, refusal: Refusal) -> CallerResponse:
+        """Log a request that is refused before it runs, and return the response."""
+        response = CallerResponse(NOT_RUN_STATUS, refusal=refusal)
+        self.log.log_end(state, response)
+        return response
+
     async def run_and_log(self, state: RequestState) -> CallerResponse | CallerStream:
         """Run a request, log its end and return its final response."""
         try:
--- a/packages/ebonylb/src/ebonylb/platform/ingress.py
+++ b/packages/ebonylb/src/ebonylb/platform/ingress.py
@@ -14,6 +14,7 @@
 from ..batches import BatchService
 from ..customers import BatchAccess, KeyCheck
 from ..forwarding import CallerRequest, CallerResponse, CallerStream, Forwarder
+from ..forwarding.last_requests import LEAVING, RETRY_ELSEWHERE_MS
 from ..forwarding.messages import make_refusal
 from ..interfaces import Clock
 from ..outcomes import Outcome, Refusal
@@ -35,8 +36,8 @@
 # Maximum size of a body; the limit in the configuration never exceeds it.
 MAX_BODY_BYTES = 33_554_432
 MAX_WAIT_MS = 1_000.0
-# Short, because another entry VM accepts the request immediately.
-RETRY_ELSEWHERE_MS = 50.0
+# Calls about batches end within this time, also while the store is slow.
+MAX_BATCH_CALL_MS = 1_500.0
 MALFORMED_BATCH = Refusal(Outcome.NOT_RUN, "malformed", "the body is not a batch")
 BODY_NOT_RECEIVED = Refusal(
     Outcome.NOT_RUN,
@@ -140,9 +141,9 @@
         try:
             path = request.raw_path.partition("?")[0]
             if path.startswith(wire_names.BATCH_PATH):
-                return await self.handle_batch(request, path)
+                return await self.handle_batch(request, path, received_ms)
             if path.startswith(wire_names.ITEM_PATH):
-                return await self.handle_item(request, path)
+                return await self.handle_item(request, path, received_ms)
             return await self.handle_request(request, path, received_ms)
         finally:
             self.readiness.in_progress -= 1
@@ -298,7 +299,9 @@
         self, request: web.BaseRequest, stream: CallerStream
     ) -> web.StreamResponse:
         """Forward a stream; a broken stream ends without the final chunk."""
-        return await self.writer.write_stream(request, stream)
+        return await self.writer.write_stream(
+            request, stream, closes=self.readiness.leaving
+        )
 
     async def submit_batch(self, message: CallerRequest, route: str) -> web.Response:
         """Submit the batch in a request and return the response."""
@@ -322,13 +325,13 @@
         return self.close_if_leaving(web.Response(status=202))
 
     async def handle_batch(
-        self, request: web.BaseRequest, path: str
+        self, request: web.BaseRequest, path: str, received_ms: float
     ) -> web.StreamResponse:
         """Return results of a batch, or end the batch."""
         batch_id = unquote(path.removeprefix(wire_names.BATCH_PATH))
         if not self.readiness.has_configuration():
             return self.refuse_not_ready(batch_id)
-        refusal = await self.check_access(request, batch_id)
+        refusal = await self.check_access(request, batch_id, received_ms)
         if refusal is not None:
             return self.build_refusal_response(refusal, batch_id)
         if request.method == "DELETE":
@@ -354,9 +357,11 @@
         )
 
     async def check_access(
-        self, request: web.BaseRequest, batch_id: str
+        self, request: web.BaseRequest, batch_id: str, received_ms: float
     ) -> Refusal | None:
-        """Return None if the caller may use a batch, else the refusal."""
+        """Return None if the caller may use a batch now, else the refusal."""
+        if not self.forwarder.last_requests.accepts(received_ms + MAX_BATCH_CALL_MS):
+            return LEAVING
         keys = request.headers.getall(wire_names.AUTHORIZATION, ())
         access = self.key_check.identify_batch_caller(keys)
         if isinstance(access, Err):
@@ -366,13 +371,13 @@
         return await self.batches.check_access(batch_id, access.ok_value)
 
     async def handle_item(
-        self, request: web.BaseRequest, path: str
+        self, request: web.BaseRequest, path: str, received_ms: float
     ) -> web.StreamResponse:
         """Return the request body of a batch item."""
         batch_id = unquote(path.removeprefix(wire_names.ITEM_PATH))
         if not self.readiness.has_configuration():
             return self.refuse_not_ready(batch_id)
-        refusal = await self.check_access(request, batch_id)
+        refusal = await self.check_access(request, batch_id, received_ms)
         if refusal is not None:
             return self.build_refusal_response(refusal, batch_id)
         item_id = request.query.get("Id", "")
--- a/packages/ebonylb/src/ebonylb/platform/response_writing.py
+++ b/packages/ebonylb/src/ebonylb/platform/response_writing.py
@@ -66,17 +66,24 @@
         return response
 
     async def write_stream(
-        self, request: web.BaseRequest, stream: CallerStream
+        self, request: web.BaseRequest, stream: CallerStream, closes: bool
     ) -> web.StreamResponse:
         """Write a stream; a broken stream ends without the final chunk.
 
         What a slow caller does not take yet is held for it within the bounds, so that
         the server is not held up.
+
+        Parameters
+        ----------
+        closes : bool
+            Whether the connection ends after the stream.
         """
         response = web.StreamResponse(status=stream.status)
         for name, value in stream.headers:
             response.headers.add(name, value)
         response.enable_chunked_encoding()
+        if closes:
+            response.force_close()
         with self.watch(request) as connection:
             try:
                 await response.prepare(request)
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -343,6 +343,9 @@
         if self.components.duties is not None:
             self.components.duties.leave()
         limit_ms = self.settings.bounds.grace_ms - EXIT_MARGIN_MS
+        self.components.last_requests.begin(
+            began_ms + BALANCER_GRACE_MS, began_ms + limit_ms
+        )
         try:
             async with asyncio.timeout(limit_ms / 1000):
                 await asyncio.gather(
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -32,6 +32,7 @@
     RequestLog,
     RequestRuns,
 )
+from ..forwarding.last_requests import LastRequests
 from ..forwarding.stream_origins import StreamOrigins
 from ..forwarding.strikes import TABLE as STRIKES_TABLE
 from ..forwarding.strikes import CrashStrikes
@@ -208,8 +209,15 @@
             self.reachability,
             metrics,
         )
+        self.last_requests = LastRequests(clock)
         self.forwarder = Forwarder(
-            self.routes, runs, self.strikes, clock, log, self.admission.admission
+            self.routes,
+            runs,
+            self.strikes,
+            clock,
+            log,
+            self.last_requests,
+            self.admission.admission,
         )
         # Runs without failover: a relayed request is never passed on again.
         self.relay_receiver = RelayReceiver(
--- a/packages/ebonylb/tests/test_border_fuzz.py
+++ b/packages/ebonylb/tests/test_border_fuzz.py
@@ -16,6 +16,7 @@
 from ebonylb.batches.progress_view import BatchProgressView
 from ebonylb.customers import KeyCheck
 from ebonylb.fleet import ServerDirectory
+from ebonylb.forwarding.last_requests import LastRequests
 from ebonylb.forwarding.messages import make_refusal
 from ebonylb.interfaces.row_store import RowKey, StoredRow
 from ebonylb.leases import LeaseTable
@@ -212,6 +213,8 @@
 
 
 class FakeForwarder:
+    last_requests = LastRequests(ManualClock(100_000.0))
+
     def find_route(self, request):
         assert request.deadline_ms is None or math.isfinite(request.deadline_ms)
         return make_refusal(Outcome.NOT_RUN, "no_route", "no route")
--- a/packages/ebonylb/tests/test_caller_drain.py
+++ b/packages/ebonylb/tests/test_caller_drain.py
@@ -5,10 +5,12 @@
 from aiohttp import web
 
 from ebonylb.adapters.clock import SystemClock
+from ebonylb.forwarding.last_requests import LastRequests
 from ebonylb.routes import RouteTable
 from ebonylb.service.caller_drain import CallerDrain
 from ebonylb.service.readiness import Readiness
 from ebonylb.service.uploads import Uploads
+from ebonylb_standins.site.manual_clock import ManualClock
 from ebonylb_standins.waiting import until
 
 REQUEST = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
@@ -142,3 +144,18 @@
             await server.runner.cleanup()
 
         run(scenario())
+
+
+class TestLastRequests:
+    def test_all_are_accepted_before_the_shutdown(self):
+        assert LastRequests(ManualClock(0.0)).accepts(LATER_MS)
+
+    def test_a_request_that_may_be_cut_off_is_refused(self):
+        """Guards against requests on kept connections that begin, and are cut off."""
+        clock = ManualClock(1_000.0)
+        last_requests = LastRequests(clock)
+        last_requests.begin(accepts_all_until_ms=3_600.0, cut_off_ms=7_700.0)
+        assert last_requests.accepts(LATER_MS)
+        clock.now_ms = 3_600.0
+        assert last_requests.accepts(7_700.0)
+        assert not last_requests.accepts(7_701.0)
--- a/packages/ebonylb/tests/test_customer_requests.py
+++ b/packages/ebonylb/tests/test_customer_requests.py
@@ -335,3 +335,23 @@
             assert isinstance(await second.batches.find("b"), Ok)
 
         run_virtual(scenario())
+
+
+class TestLeaving:
+    def test_a_call_that_may_be_cut_off_is_refused(self):
+        """Guards against calls about batches that begin just before the process stops.
+
+        A call that surely ends before that is still answered.
+        """
+
+        async def scenario():
+            world = make_world()
+            (vm,) = await start(world)
+            now_ms = world.clock.monotonic_ms()
+            for cut_off_ms, wanted in ((2_000, "no_batch"), (1_000, "leaving")):
+                vm.forwarder.last_requests.begin(now_ms, now_ms + cut_off_ms)
+                for path in ("/api/lots/none", "/api/items/none?Id=x"):
+                    _, reason = await call(vm, "GET", path, "Bearer key-one")
+                    assert reason == wanted
+
+        run_virtual(scenario())
--- a/packages/ebonylb/tests/test_held_bytes.py
+++ b/packages/ebonylb/tests/test_held_bytes.py
@@ -51,7 +51,7 @@
         try:
             if self.is_stream:
                 stream = CallerStream(200, (), self.events(), None, lambda: None)
-                return await self.writer.write_stream(request, stream)
+                return await self.writer.write_stream(request, stream, closes=False)
             answer = CallerResponse(200, (), BLOCK * EVENTS)
             return await self.writer.write_large(request, answer, closes=False)
         finally:
--- a/packages/ebonylb/tests/test_relay.py
+++ b/packages/ebonylb/tests/test_relay.py
@@ -25,6 +25,7 @@
 from ebonylb.relay import RelayedAnswer
 from ebonylb.relay.entry_vms import TABLE
 from ebonylb.routes import Route, RouteKind, Target
+from ebonylb.service.readiness import Readiness
 from ebonylb_standins.histories.virtual_time import run_virtual
 from ebonylb_standins.site.cut_path import PathState
 from ebonylb_standins.site.servers import PlannedResponse
@@ -510,7 +511,10 @@
             world.port.planned_responses["q"] = PlannedResponse(self.EVENTS)
             stream = await serve(vm, make_request(world, path="/chat/1"))
             assert vm.reachability.in_progress == 1
-            ingress = Ingress(vm.forwarder, vm.batches, None, world.clock, None, None)
+            readiness = Readiness(vm.routes, world.clock)
+            ingress = Ingress(
+                vm.forwarder, vm.batches, readiness, world.clock, None, None
+            )
             with pytest.raises(ConnectionResetError):
                 await ingress.forward_stream(None, stream)
             assert vm.reachability.in_progress == 0
--- a/packages/ebonylb_standins/tests/test_site.py
+++ b/packages/ebonylb_standins/tests/test_site.py
@@ -1,6 +1,7 @@
 """Entry VM processes of the users' platform, tested over HTTP on loopback."""
 
 import asyncio
+import contextlib
 import json
 import os
 import random
@@ -200,6 +201,73 @@
 
         asyncio.run(scenario())
 
+    def test_no_request_on_a_kept_connection_is_cut_off(self):
+        """Guards against late requests of a leaving entry VM that begin, and are cut.
+
+        A stream keeps the process up. Meanwhile requests come on kept connections: one
+        that surely ends before the process stops, and others that could not.
+        """
+
+        async def scenario():
+            async with (
+                HttpSite(
+                    first_ip=150, entry_vms=1, settings=("Bounds.GraceS=5.7",)
+                ) as site,
+                contextlib.AsyncExitStack() as sessions,
+            ):
+                (vm,) = site.vms.values()
+
+                async def send(session, path, request_id, deadline_ms):
+                    async with session.post(
+                        f"http://{vm.front_address}{path}",
+                        headers={
+                            "Host": HOST,
+                            "Ebonylb-Request-Id": request_id,
+                            "Ebonylb-Deadline-Ms": str(deadline_ms),
+                            "Ebonylb-Model": "m",
+                        },
+                    ) as response:
+                        return response.status, await response.read(), response.headers
+
+                async def connect(number):
+                    session = await sessions.enter_async_context(
+                        aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=1))
+                    )
+                    assert (await send(session, "/ask/1", f"q{number}", 900))[0] == 200
+                    return session
+
+                kept = [await connect(number) for number in range(5)]
+                long_stream = asyncio.create_task(
+                    send(kept.pop(), "/live/200", "long", 1_900)
+                )
+                await asyncio.sleep(0.2)
+                vm.send_signal(signal.SIGTERM)
+                await asyncio.sleep(3.2)
+                status, _, headers = await send(kept.pop(), "/ask/1", "short", 900)
+                assert (status, headers["Connection"]) == (200, "close")
+                for server in site.servers.values():
+                    server.work_s = 1.95
+                assert not long_stream.done()
+                paths = {"b": "/book/1", "a": "/ask/1", "s": "/live/90"}
+                answers = await asyncio.gather(
+                    *(
+                        send(session, path, request_id, 2_000)
+                        for session, (request_id, path) in zip(
+                            kept, paths.items(), strict=True
+                        )
+                    )
+                )
+                for status, body, headers in answers:
+                    assert (status, json.loads(body)["reason"]) == (503, "leaving")
+                    assert float(headers["Retry-After"]) < 1
+                    assert headers["Connection"] == "close"
+                runs = sum((s.run_counts for s in site.servers.values()), Counter())
+                assert not set(paths) & set(runs)
+                assert (await long_stream)[0] == 200
+                assert await asyncio.wait_for(vm.process.wait(), 8) == 0
+
+        asyncio.run(scenario())
+
     def test_a_request_that_never_ends_does_not_delay_the_shutdown(self):
         """Guards against a process that still runs after its grace period.
 
