--- a/packages/ebonylb/src/ebonylb/fleet/directory.py
+++ b/packages/ebonylb/src/ebonylb/fleet/directory.py
@@ -63,7 +63,7 @@
         self.list_recovered_ms = -1e12
         self.ready_by_service: dict[str, list[ListedServer]] = {}
         self.departures = Departures()
-        self.software_versions = SoftwareVersions(clock)
+        self.software_versions = SoftwareVersions()
         self.listeners: list[Callable[[], None]] = []
 
     def subscribe(self, listener: Callable[[], None]) -> None:
@@ -79,7 +79,6 @@
 
     def replace_all(self, listed: Iterable[ListedServer]) -> None:
         """Replace all servers by a complete listing."""
-        is_first = not self.servers
         listed_by_name = {server.name: server for server in listed}
         for name in [name for name in self.servers if name not in listed_by_name]:
             self.remove(name, notify=False)
@@ -90,8 +89,6 @@
         ]
         for server in listed_by_name.values():
             self.put(server, notify=False)
-        if is_first:
-            self.software_versions.forget_former()
         log_listed(new, restarted=False)
         self.notify()
 
@@ -219,10 +216,6 @@
             for server in self.ready(service)
         )
 
-    def has_several_versions(self, service: str) -> bool:
-        """Return whether a service has, or had, servers of several versions."""
-        return self.software_versions.has_several(service)
-
     def is_ready(self, server: ListedServer) -> bool:
         """Return whether this incarnation of a server takes new work."""
         listed = self.servers.get(server.name)
--- a/packages/ebonylb/src/ebonylb/forwarding/request_runs.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/request_runs.py
@@ -383,7 +383,9 @@
             return
         is_recorded = await self.origins.begin(state.stream_id, state.service, server)
         if not is_recorded and state.route.resumable:
-            state.software_version = self.origins.former_version(state.service)
+            state.software_version = self.origins.history.unrecorded_version(
+                state.service
+            )
             raise OriginNotStoredError(
                 "stream.origin", server.name, "software version not stored"
             )
--- a/packages/ebonylb/src/ebonylb/forwarding/stream_origins.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/stream_origins.py
@@ -3,7 +3,7 @@
 A caller takes a stream up at any entry VM and names the request that brought its first
 event. While a service has servers of several software versions, the version of that
 request is stored before its first event is sent on. A stream that is not stored began
-before that, on the version that the service had alone.
+before that, on the version that the service had alone, which `VersionHistory` keeps.
 """
 
 import asyncio
@@ -18,6 +18,7 @@
 from ..interfaces.row_store import Put, RowKey, RowStore, next_key
 from ..outcomes import Outcome
 from .messages import CallerRequest, CallerResponse, make_refusal
+from .version_history import VersionHistory
 
 logger = logging.getLogger(__name__)
 
@@ -56,6 +57,8 @@
         Source of time.
     directory : ServerDirectory
         Software versions of the listed servers.
+    history : VersionHistory
+        Software versions that were in service before.
 
     Attributes
     ----------
@@ -66,11 +69,16 @@
     """
 
     def __init__(
-        self, store: RowStore, clock: Clock, directory: ServerDirectory
+        self,
+        store: RowStore,
+        clock: Clock,
+        directory: ServerDirectory,
+        history: VersionHistory,
     ) -> None:
         self.store = store
         self.clock = clock
         self.directory = directory
+        self.history = history
         self.open_streams: dict[str, tuple[str, str]] = {}
         self.known: OrderedDict[str, str] = OrderedDict()
         self.pending: dict[str, dict[str, Put]] = {}
@@ -83,22 +91,6 @@
         """Return whether the last write has succeeded, or is long ago."""
         return self.clock.monotonic_ms() - self.failed_ms >= RETRY_MS
 
-    def former_version(self, service: str) -> str | None:
-        """Return the version of the streams of a service that are not stored.
-
-        An entry VM that started while several versions were listed takes the version
-        of the server that has run longest.
-        """
-        former = self.directory.software_versions.former.get(service)
-        if former is not None:
-            return former
-        oldest = min(
-            self.directory.ready(service),
-            key=lambda server: (server.started_ms or 0, server.name),
-            default=None,
-        )
-        return oldest.software_version if oldest else None
-
     async def required_version(
         self, request: CallerRequest, service: str
     ) -> Result[str | None, CallerResponse]:
@@ -108,17 +100,17 @@
         """
         if not request.resume_after:
             return Ok(self.version_for_new_stream(service))
-        has_several = self.directory.has_several_versions(service)
-        if not request.resumes and not has_several:
-            return Ok(None)
         version = await self.find(request.resumes, service)
-        if version is not None or not has_several:
+        if version is None and not self.history.needs_record(service):
+            version = self.history.unrecorded_version(service)
+        if version is not None:
             return Ok(version)
         return Err(
             make_refusal(
                 Outcome.NOT_RUN,
                 "unknown_software_version",
-                "the software version on which the stream began is not known here",
+                "the software version on which the stream began is not known here; "
+                "it may be begun again at its first event",
                 REFUSAL_RETRY_AFTER_MS,
             )
         )
@@ -128,12 +120,14 @@
 
         Without the store, that is the version of the streams that are not stored.
         """
-        if self.can_store() or not self.directory.has_several_versions(service):
+        if self.can_store() or not self.history.needs_record(service):
             return None
-        former = self.former_version(service)
-        if former is None or not self.directory.has_ready_version(service, former):
+        unrecorded = self.history.unrecorded_version(service)
+        if unrecorded is None or not self.directory.has_ready_version(
+            service, unrecorded
+        ):
             return None
-        return former
+        return unrecorded
 
     def add_open(self, stream_id: str, service: str, server: ListedServer) -> None:
         """Record that a stream is in progress here."""
@@ -149,24 +143,26 @@
         """
         self.add_open(stream_id, service, server)
         software_version = server.software_version
-        if not self.directory.has_several_versions(service):
+        if not self.history.needs_record(service):
             return True
         if self.can_store() and await self.write(stream_id, software_version):
             return True
-        former = self.former_version(service)
-        return former in (
+        unrecorded = self.history.unrecorded_version(service)
+        return unrecorded in (
             None,
             software_version,
-        ) or not self.directory.has_ready_version(service, former)
+        ) or not self.directory.has_ready_version(service, unrecorded)
 
     def end(self, stream_id: str) -> None:
         """Record that a stream is no longer in progress here."""
         self.open_streams.pop(stream_id, None)
 
     def store_open_streams(self, service: str) -> None:
-        """Store the streams in progress when a second version is listed."""
+        """Store the streams in progress when another version is listed."""
+        if len(self.directory.software_versions.listed(service)) < 2:
+            return
         for stream_id, (its_service, version) in self.open_streams.items():
-            if its_service == service:
+            if its_service == service and stream_id not in self.known:
                 self.enqueue(stream_id, version)
 
     def enqueue(self, stream_id: str, software_version: str) -> asyncio.Task[bool]:
@@ -244,7 +240,7 @@
                 version = row.value.decode("utf-8", "replace")
                 self.remember(stream_id, version)
                 return version
-        return self.former_version(service)
+        return self.history.unrecorded_version(service)
 
     async def delete_expired(self) -> None:
         """Delete the rows of streams that ended long ago, until cancelled."""
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -36,6 +36,7 @@
 from ..forwarding.stream_origins import StreamOrigins
 from ..forwarding.strikes import TABLE as STRIKES_TABLE
 from ..forwarding.strikes import CrashStrikes
+from ..forwarding.version_history import VersionHistory
 from ..interfaces.server_client import (
     ResponseHead,
     ServerAddress,
@@ -147,7 +148,12 @@
             self.limit_registry,
         )
         self.strikes = CrashStrikes(dependencies.store, clock)
-        self.stream_origins = StreamOrigins(dependencies.store, clock, self.directory)
+        self.version_history = VersionHistory(
+            identity.name, dependencies.store, clock, self.store_time, self.directory
+        )
+        self.stream_origins = StreamOrigins(
+            dependencies.store, clock, self.directory, self.version_history
+        )
         self.build_entry_vms()
         self.admission = AdmissionComponents(
             identity.name, dependencies, self.routes, self.store_time
@@ -432,6 +438,7 @@
             **self.admission.background_tasks(),
             "limits": self.limit_shares.run,
             "stream origins": self.stream_origins.delete_expired,
+            "version history": self.version_history.run,
             "orders": self.order_controller.run,
             "batches": self.batch_ownership.watch,
             "missing servers": self.directory.drop_missing_periodically,
--- a/packages/ebonylb_standins/tests/test_site.py
+++ b/packages/ebonylb_standins/tests/test_site.py
@@ -15,7 +15,7 @@
 
 from ebonylb_standins.site.cut_path import PathState
 from ebonylb_standins.site.cuttable_site import CuttableProxy, CuttableSite
-from ebonylb_standins.site.http_servers import event_text
+from ebonylb_standins.site.http_servers import HttpServer, event_text
 from ebonylb_standins.site.http_site import (
     DESK,
     ENGINE,
@@ -32,6 +32,7 @@
     find_mixed_streams,
 )
 from ebonylb_standins.site.recover_rule import Cut, FirstTry, judge
+from ebonylb_standins.site.stored_configuration import MODELS
 
 TIMEOUT_S = 20.0
 
@@ -525,6 +526,8 @@
                 **headers,
             },
         ) as response:
+            if response.status != 200:
+                return numbers
             async for line in response.content:
                 if line.startswith(b"id: "):
                     numbers.append(int(line[4:]))
@@ -568,6 +571,59 @@
             expected = list(range(1, cls.EVENTS + 1))
             return find_mixed_streams(parts), numbers.count(expected)
 
+    @classmethod
+    async def find_mixed_after_restarts(cls, first_ip, program=PROGRAM):
+        """Return the streams with parts of two versions, and how many go on.
+
+        One version serves. While all entry VMs are down, another one replaces it.
+        """
+        async with HttpSite(
+            first_ip=first_ip, entry_vms=3, engines=2, desks=0, program=program
+        ) as site:
+            await asyncio.sleep(1.0)
+            vms = list(site.vms.values())
+            begun = await asyncio.gather(
+                *(cls.read_part(site, vms[n % 3], f"s{n}", 15) for n in range(8))
+            )
+            await asyncio.gather(*(vm.kill() for vm in vms))
+            for name in [*site.servers]:
+                site.store.data.put("servers", name, None)
+                server = HttpServer(f"new-{name}", ENGINE, MODELS)
+                server.software_version = "v2"
+                await site.add_server(server, site.server_zones[name])
+            await asyncio.gather(*(vm.start() for vm in vms))
+            await asyncio.gather(*(site.wait_ready(vm) for vm in vms))
+            await asyncio.sleep(1.0)
+            rests = await asyncio.gather(
+                *(
+                    cls.read_part(
+                        site,
+                        vms[n % 3],
+                        f"s{n}-1",
+                        cls.EVENTS,
+                        **{"Last-Event-Id": str(begun[n][-1]), "Resumes": f"s{n}"},
+                    )
+                    for n in range(8)
+                )
+            )
+            parts = [
+                StreamPart(stream_id, (version,))
+                for server in site.servers.values()
+                for stream_id, _, version in server.stream_parts
+            ]
+            new = await cls.read_part(site, vms[0], "new", cls.EVENTS)
+            assert len(new) == cls.EVENTS
+            return find_mixed_streams(parts), sum(map(bool, rests))
+
+    def test_restarted_entry_vms_do_not_join_two_versions(self):
+        """Guards against streams joined from two versions after all were killed."""
+        assert asyncio.run(self.find_mixed_after_restarts(185)) == ({}, 0)
+
+    def test_the_check_reports_a_broken_variant_after_restarts(self):
+        variant = ("-m", "ebonylb_standins.soak.broken", "forget_origins")
+        mixed, _ = asyncio.run(self.find_mixed_after_restarts(190, variant))
+        assert len(mixed) > MAX_MIXED_STREAMS
+
     def test_streams_stay_on_their_version_over_all_tries(self):
         mixed, complete = asyncio.run(self.find_mixed(175))
         assert mixed == {}
