adapters: a malformed body ends the wait for it at once

Callers saw requests held until their time limit (504), and streams held until they counted as stalled, after a server had sent other bytes in place of a chunk, such as the head of an error.

Cause: when its parser fails, aiohttp records the error at the connection, where only the wait for a head sees it; the body's reader is not told.

Change: StrictConnection fails the body that is being received. It is the class of the connections to servers, the store and other entry VMs, so that all three are covered.

Also: test_a_head_that_ends_anywhere_is_no_answer closes the connection after each byte of a head, on new and on kept connections.

--- a/packages/ebonylb/src/ebonylb/adapters/connections.py
+++ b/packages/ebonylb/src/ebonylb/adapters/connections.py
@@ -1,9 +1,10 @@
 """Connections of the HTTP clients that never mistake one response for another.
 
-The connections of aiohttp are more lenient in three cases. A response without a length
+The connections of aiohttp are more lenient in four cases. A response without a length
 ends with its connection, and a connection that is reset also ends it. Bytes that arrive
 while a connection is idle are taken as the response to the next request. Interim
-responses, and what frames a body, may come without end.
+responses, and what frames a body, may come without end. Bytes that frame no body close
+the connection, but the body's reader goes on waiting.
 """
 
 import asyncio
@@ -52,6 +53,9 @@
         self.activity.last_received_ms = self._loop.time() * 1000
         body, body_bytes = self.read_progress()
         super().data_received(data)
+        error = self.exception()
+        if error is not None:
+            self.fail_body(body, "malformed body", error)
         if self.read_progress() != (body, body_bytes):
             self.bytes_without_body = 0
             return
@@ -73,12 +77,18 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an unfinished body if the connection was not closed in order."""
-        body = self._payload
-        if exc is not None and body is not None and not body.is_eof():
-            error = aiohttp.ClientPayloadError(f"connection lost in the body: {exc}")
-            set_exception(body, error, exc)
+        if exc is not None:
+            self.fail_body(self._payload, "connection lost in the body", exc)
         super().connection_lost(exc)
 
+    def fail_body(
+        self, body: aiohttp.StreamReader | None, message: str, cause: BaseException
+    ) -> None:
+        """End the wait of a body's reader with an error, unless the body is whole."""
+        if body is not None and not body.is_eof() and body.exception() is None:
+            error = aiohttp.ClientPayloadError(f"{message}: {cause}")
+            set_exception(body, error, cause)
+
     def is_connected(self) -> bool:
         """Return whether the connection may be used for a next request.
 
--- a/packages/ebonylb/tests/test_connections.py
+++ b/packages/ebonylb/tests/test_connections.py
@@ -236,6 +236,61 @@
 
         run(scenario())
 
+    @pytest.mark.parametrize("is_stream", [False, True])
+    @pytest.mark.parametrize(
+        "garbage",
+        [b"zz\r\n", b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"],
+        ids=["no length", "another head"],
+    )
+    def test_bytes_that_are_no_chunk_end_the_wait(self, garbage, is_stream):
+        """Guards against requests that are held until their deadlines.
+
+        The connection stays open at the server.
+        """
+        head = answer("q", b"", length=False, **{"Transfer-Encoding": "chunked"})
+
+        async def scenario():
+            async def handle(reader, writer):
+                await read_request_id(reader)
+                writer.write(head + b"f\r\nid: 1\ndata: a\n\n\r\n")
+                await asyncio.sleep(0.05)
+                writer.write(garbage)
+                await reader.read()
+
+            async with serving(handle) as (client, address), asyncio.timeout(5):
+                response = (await client.open(address, make_request("q"))).ok_value
+                with pytest.raises(StepError):
+                    if is_stream:
+                        _ = [event async for event in response.events()]
+                    else:
+                        await response.body()
+                response.close()
+
+        run(scenario())
+
+    @pytest.mark.parametrize("is_kept", [False, True], ids=["new", "kept"])
+    def test_a_head_that_ends_anywhere_is_no_answer(self, is_kept):
+        """Guards against a success with an empty body, after half a head."""
+        whole = answer("q", b"", **{"Ebonylb-Weight-Versions": "1"})
+
+        async def scenario():
+            cuts = iter(range(len(whole)))
+
+            async def handle(reader, writer):
+                if is_kept:
+                    writer.write(answer(await read_request_id(reader), b"ok"))
+                await read_request_id(reader)
+                writer.write(whole[: next(cuts)])
+
+            async with serving(handle) as (client, address):
+                for _ in whole:
+                    if is_kept:
+                        assert await fetch(client, address, "first") == b"ok"
+                    error = await fetch(client, address, "q")
+                    assert isinstance(error, StepError) and error.may_have_run
+
+        run(scenario())
+
     def test_a_report_that_is_reset_is_an_error(self):
         part = answer(None, b'{"Busy":false}', length=False)
 
