--- a/packages/ebonylb/src/ebonylb/platform/event_stream.py
+++ b/packages/ebonylb/src/ebonylb/platform/event_stream.py
@@ -11,6 +11,8 @@
 from . import wire_names
 
 WEIGHT_VERSION_FIELD = wire_names.WEIGHT_VERSION.lower()
+# Further fields of the format; a line without a name is a comment, or empty.
+IGNORED_FIELDS = frozenset({"", "event", "retry"})
 # No event of these servers is larger.
 MAX_EVENT_BYTES = 1_000_000
 
@@ -32,10 +34,14 @@
 def decode_event(block: bytes, step: str, peer: str) -> StreamEvent | None:
     """Return the event in a block of lines; None for a comment.
 
+    A line that is no part of the format is not skipped: it shows that the server sends
+    something else, such as the text of an error.
+
     Raises
     ------
     StepError
-        The event has no valid number, or the block is not valid text.
+        The event has no valid number, the block is not valid text, or it has a line
+        that is no part of an event stream.
     """
     number: int | None = None
     version: int | None = None
@@ -51,6 +57,8 @@
                 data.append(value)
             elif field.lower() == WEIGHT_VERSION_FIELD:
                 version = int(value)
+            elif field not in IGNORED_FIELDS:
+                raise ValueError("a line that is no part of an event stream")
     except ValueError as error:
         raise StepError(step, peer, f"unreadable event: {error}") from error
     if number is None:
--- a/packages/ebonylb/src/ebonylb/platform/servers.py
+++ b/packages/ebonylb/src/ebonylb/platform/servers.py
@@ -39,6 +39,7 @@
 # requests; the second one is for reports and responses to orders.
 MAX_BODY_BYTES = 33_554_432
 MAX_CONTROL_BODY_BYTES = 1_048_576
+EVENT_STREAM_TYPE = "text/event-stream"
 NORMAL_SLOWDOWN_PERCENT = 100  # load header of a server on an undisturbed machine
 
 
@@ -117,6 +118,12 @@
     )
 
 
+def is_event_stream(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a response has the type of event streams, or names none."""
+    named = "Content-Type" in response.headers
+    return not named or response.content_type == EVENT_STREAM_TYPE
+
+
 async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
     """Read a complete body; raise `ValueError` if it is larger than `max_bytes`."""
     if (response.content_length or 0) > max_bytes:
@@ -154,6 +161,9 @@
 
     async def decode_events(self) -> AsyncIterator[tuple[StreamEvent, bytes]]:
         """Iterate over the decoded events, each with its bytes."""
+        if not is_event_stream(self.response):
+            cause = f"a response of type {self.response.content_type}"
+            raise StepError("server.stream", self.peer, cause)
         decoder = EventDecoder("server.stream", self.peer)
         try:
             async for chunk in self.response.content.iter_any():
--- a/packages/ebonylb/tests/test_platform_adapter.py
+++ b/packages/ebonylb/tests/test_platform_adapter.py
@@ -274,6 +274,29 @@
         events = [(event.number, event.data) for event, _ in decoded]
         assert events == [(1, "text 1"), (2, "text 2")]
 
+    @pytest.mark.parametrize(
+        "text",
+        [
+            b"Internal Server Error\n\n",
+            b"Internal Server Error\nid: 2\ndata: b\n\n",
+            b'{"error": "out of memory"}\n\n',
+            b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n",
+            b"id: 2\nInternal Server Error\ndata: b\n\n",
+        ],
+    )
+    def test_the_text_of_an_error_is_no_part_of_a_stream(self, text):
+        """Guards against foreign text that is forwarded, or skipped up to the end."""
+        decoder = EventDecoder("step", "peer")
+        decoder.feed(b"id: 1\ndata: a\n\n")
+        with pytest.raises(StepError):
+            decoder.feed(text)
+
+    def test_other_fields_of_the_format_are_accepted(self):
+        """Guards against sound streams that are taken for broken ones."""
+        stream = b": comment\n\nretry: 10\n\nevent: token\nid: 1\ndata: a\n\n"
+        ((event, _),) = EventDecoder("step", "peer").feed(stream)
+        assert (event.number, event.data) == (1, "a")
+
     @pytest.mark.parametrize("block", [b"id: x\n\n", b"data: a\n\n", b"id: \xff\n\n"])
     def test_malformed_event_is_an_error(self, block):
         """Guards against events without a valid number that are forwarded."""
