faulty answers: the stand-in answers items and scoring requests, too

Cause: the stand-in of the commit before decoded bodies as UTF-8. Items and scoring requests have others, so that it failed with 500 in their place, and their two tests said nothing of the answers named.

Change: bodies are read byte for byte. The test of items lets no server go on with them for 0.6 s, and expects whole texts after that; errored is allowed where as many answers of 500 as the route has attempts may have come.

--- a/packages/ebonylb_standins/src/ebonylb_standins/site/faulty_answers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/faulty_answers.py
@@ -13,6 +13,8 @@
 from .http_servers import HttpServer, seal_of
 
 PAUSE_S = 0.1
+# Of the answers, in which each character is one byte.
+ENCODING = "latin-1"
 # No part of a sound response has this text.
 ERROR_TEXT = "Internal Server Error"
 ERROR_HEAD = f"HTTP/1.1 500 {ERROR_TEXT}\r\nContent-Length: 0\r\n\r\n"
@@ -40,7 +42,7 @@
 
 def make_chunk(text: str) -> str:
     """Return one chunk of a body; an empty one ends it."""
-    return f"{len(text.encode()):x}\r\n{text}\r\n"
+    return f"{len(text):x}\r\n{text}\r\n"
 
 
 def make_error(status: int, seal: bool, content_type: str = "text/plain") -> Answer:
@@ -138,14 +140,14 @@
         request_id = request.headers.get("Ebonylb-Request-Id", "")
         body = await request.read()
         self.run_counts[request_id] += 1
-        sound_body = f"{request_id}:{body.decode()}"
+        sound_body = f"{request_id}:{body.decode(ENCODING)}"
         if is_taken_up:
             number = int(request.headers["Last-Event-Id"]) + 1
             sound_body = f"id: {number}\ndata: {request_id}/{number}\n\n"
         first, *others = self.answer(request_id, sound_body)
-        request.transport.write(first.encode())
+        request.transport.write(first.encode(ENCODING))
         for part in others:
             await asyncio.sleep(PAUSE_S)
-            request.transport.write(part.encode())
+            request.transport.write(part.encode(ENCODING))
         request.transport.close()
         raise asyncio.CancelledError
