forwarding: a server without a software version has one of its own, the empty one

Cause: the version of streams without a row was chosen by truth value, so that an empty version counted as none and the version before it was named.

Change: it is compared with None. test_servers_may_name_no_version fails before and passes after; the other tests of the file pass.

--- a/packages/ebonylb/src/ebonylb/forwarding/version_history.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/version_history.py
@@ -59,7 +59,8 @@
 
     def unrecorded_version(self, now_ms: float) -> str | None:
         """Return the version of streams without a row; None if it is not known."""
-        return self.settled_version(now_ms) or self.unrecorded
+        settled = self.settled_version(now_ms)
+        return settled if settled is not None else self.unrecorded
 
     def advance(self, listed: tuple[str, ...], now_ms: float) -> "ServiceVersions":
         """Return the row once other versions are listed."""
--- a/packages/ebonylb/tests/test_software_versions.py
+++ b/packages/ebonylb/tests/test_software_versions.py
@@ -508,6 +508,12 @@
         assert row.settled_version(2_000.0 + STREAM_LIFETIME_MS) == "v2"
         assert row.unrecorded_version(2_000.0 + STREAM_LIFETIME_MS) == "v2"
 
+    def test_servers_may_name_no_version(self):
+        """Guards against an empty version that counts as none."""
+        row = first_row(("v1",)).advance(("",), 1_000.0)
+        assert row.unrecorded_version(1_000.0) == "v1"
+        assert row.unrecorded_version(1_000.0 + STREAM_LIFETIME_MS) == ""
+
     def test_a_first_listing_does_not_tell_which_version_was_alone(self):
         assert first_row(("v1", "v2")).unrecorded_version(1_000.0) is None
 
