standins: the ports of an entry VM differ

Cause: three free ports were chosen one after the other, each free again when the next one was chosen, so that two could be the same one. Such an entry VM ends at its start with "address already in use", and its site is given up after 60 s.

Change: the ports are reserved together.

--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
@@ -31,11 +31,18 @@
 PROGRAM = ("-m", "ebonylb.service.site_main")
 
 
-def free_port(ip: str) -> int:
-    """Return a port that is currently free on an address."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+def find_free_ports(ip: str, count: int) -> list[int]:
+    """Return different ports that are currently free on an address.
+
+    They are reserved together: a port that is free again may be chosen again.
+    """
+    with contextlib.ExitStack() as probes:
+        ports = []
+        for _ in range(count):
+            probe = probes.enter_context(socket.socket())
+            probe.bind((ip, 0))
+            ports.append(probe.getsockname()[1])
+        return ports
 
 
 @dataclass
@@ -83,9 +90,10 @@
 
         One key is unknown, which the process must accept.
         """
-        self.front_address = self.front_address or f"{self.ip}:{free_port(self.ip)}"
-        self.ready_address = self.ready_address or f"{self.ip}:{free_port(self.ip)}"
-        self.relay_port = self.relay_port or free_port(self.ip)
+        if not self.front_address:
+            front_port, ready_port, self.relay_port = find_free_ports(self.ip, 3)
+            self.front_address = f"{self.ip}:{front_port}"
+            self.ready_address = f"{self.ip}:{ready_port}"
         lines = [
             f"Node={self.name}",
             f"Zone={self.zone}",
