tests: two entry VMs are terminated while many callers go on

Change: TestShutdowns has 80 callers with kept connections, which rest up to 4 s, and requests of 0.05 to 1.9 s, with a seed. It reports requests that ran and were cut off where the users' rule LOST does not allow it: sent over 3 s after the SIGTERM or cut before the last sixth of the grace period, with their deadlines not reached.

--- a/packages/ebonylb_standins/tests/test_site.py
+++ b/packages/ebonylb_standins/tests/test_site.py
@@ -9,6 +9,7 @@
 import socket
 import sys
 from collections import Counter
+from dataclasses import dataclass
 
 import aiohttp
 import pytest
@@ -24,6 +25,7 @@
     ZONES,
     HttpSite,
     configuration,
+    find_free_ports,
 )
 from ebonylb_standins.site.limit_rule import Sending, Sighting, find_busiest_windows
 from ebonylb_standins.site.order_rule import (
@@ -414,6 +416,103 @@
         asyncio.run(scenario())
 
 
+@pytest.mark.xdist_group("site")
+class TestShutdowns:
+    """Entry VMs are terminated while callers go on on their kept connections."""
+
+    GRACE_S = 6.0
+    # Requests sent later than this after the SIGTERM are not cut off at all. Earlier
+    # ones may be cut off in the last sixth of the grace period.
+    MAX_SENT_S = 3.0
+    CALLERS = 40
+
+    @dataclass
+    class Request:
+        """Request of a caller; times are those of the event loop, in seconds."""
+
+        entry_vm: str
+        sent_s: float
+        deadline_s: float
+        cut_s: float | None = None
+
+    async def call_until_closed(self, vm, rng, requests):
+        """Send requests on one connection until it is closed; record each one."""
+        loop = asyncio.get_running_loop()
+        connector = aiohttp.TCPConnector(limit=1)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            while True:
+                kind = rng.choice(["ask", "book", "live"])
+                events = rng.choice([1, 20, 80])
+                deadline_s = rng.choice([0.6, 1.5, 4.0])
+                request_id = f"q{len(requests)}"
+                request = self.Request(vm.name, loop.time(), deadline_s)
+                requests[request_id] = request
+                try:
+                    async with session.post(
+                        f"http://{vm.front_address}/{kind}/{events}",
+                        headers={
+                            "Host": HOST,
+                            "Ebonylb-Request-Id": request_id,
+                            "Ebonylb-Deadline-Ms": str(int(deadline_s * 1000)),
+                            "Ebonylb-Model": "m",
+                        },
+                    ) as response:
+                        await response.read()
+                except aiohttp.ClientError:
+                    request.cut_s = loop.time()
+                    return
+                if response.headers.get("Connection") == "close":
+                    return
+                await asyncio.sleep(rng.choice([0.0, 0.1, 0.3, 2.0, 4.0]))
+
+    def may_be_cut_off(self, request, term_s):
+        """Return whether the users' rule allows that a request was cut off."""
+        if request.cut_s - request.sent_s >= request.deadline_s:
+            return True
+        return (
+            request.sent_s - term_s <= self.MAX_SENT_S
+            and request.cut_s - term_s >= self.GRACE_S * 5 / 6
+        )
+
+    async def find_cut_requests(self, seed, first_ip):
+        """Return the requests that ran and were cut off against the rule, and all."""
+        settings = (f"Bounds.GraceS={self.GRACE_S}",)
+        async with HttpSite(
+            first_ip=first_ip, entry_vms=2, desks=3, settings=settings
+        ) as site:
+            for number, work_s in enumerate((0.05, 0.9, 1.9)):
+                site.servers[f"desk-{number}"].work_s = work_s
+            rng, loop = random.Random(seed), asyncio.get_running_loop()
+            requests, term_s = {}, {}
+
+            async def terminate(vm):
+                await asyncio.sleep(rng.uniform(0.5, 2.5))
+                term_s[vm.name] = loop.time()
+                vm.send_signal(signal.SIGTERM)
+                await asyncio.wait_for(vm.process.wait(), 8)
+
+            async with asyncio.TaskGroup() as group:
+                for vm in site.vms.values():
+                    for _ in range(self.CALLERS):
+                        group.create_task(self.call_until_closed(vm, rng, requests))
+                    group.create_task(terminate(vm))
+            runs = sum((s.run_counts for s in site.servers.values()), Counter())
+            cut = {
+                request_id: request
+                for request_id, request in requests.items()
+                if request.cut_s is not None
+                and runs[request_id]
+                and not self.may_be_cut_off(request, term_s[request.entry_vm])
+            }
+            return cut, requests
+
+    def test_late_requests_are_refused_or_answered(self):
+        """Guards against requests that a terminated entry VM begins and cuts off."""
+        cut, requests = asyncio.run(self.find_cut_requests(8, 155))
+        assert cut == {}
+        assert len(requests) > 100
+
+
 @pytest.mark.xdist_group("site")
 class TestLeavingServers:
     """The servers' rows call them ready all the time."""
@@ -750,3 +849,10 @@
             target.close()
 
         asyncio.run(scenario())
+
+
+class TestFreePorts:
+    def test_ports_of_one_entry_vm_differ(self):
+        """Guards against entry VMs that never start, as two of their ports are one."""
+        for _ in range(1_000):
+            assert len(set(find_free_ports("127.0.0.1", 3))) == 3
