soak: a terminated process may be replaced by another fault

Cause: terminate_and_restart waited for the end of the entry VM's process of the moment.

Change: it waits for the process that it terminated.

--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/faults.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/faults.py
@@ -47,11 +47,13 @@
 async def terminate_and_restart(site: "SoakSite", rng: random.Random) -> None:
     """Terminate an entry VM with SIGTERM and start it again."""
     vm = choose_vm(site, rng)
+    # Another fault may kill the process and start the next one meanwhile.
+    process = vm.process
     vm.send_signal(signal.SIGTERM)
-    if not await ends_within(vm.process.pid, GRACE_S):
+    if not await ends_within(process.pid, GRACE_S):
         site.record_failure("shutdown", f"{vm.name} still runs 8 s after SIGTERM")
         await vm.kill()
-    await vm.process.wait()
+    await process.wait()
     await site.restart(vm)
 
 
--- a/packages/ebonylb_standins/tests/test_faulty_answers.py
+++ b/packages/ebonylb_standins/tests/test_faulty_answers.py
@@ -138,7 +138,7 @@
                 assert received == make_events(name)[: len(received)]
                 assert received.endswith(b"\n\n")
 
-        play(200, scenario)
+        play(300, scenario)
 
     def test_a_stream_that_a_caller_takes_up_gets_none(self, is_relayed):
         """Guards against the same where the caller names the events that it has."""
@@ -153,7 +153,7 @@
                 if status == 200:
                     assert (name, received) == (name, b"")
 
-        play(205, scenario)
+        play(305, scenario)
 
 
 @pytest.mark.xdist_group("faulty items")
@@ -170,7 +170,7 @@
                     response = await site.send(vm, f"/chat/{EVENTS}", stream_id)
                     assert response == (200, make_events(stream_id), True)
 
-        play(210, scenario)
+        play(310, scenario)
 
     def test_an_item_gets_no_foreign_text_and_no_early_end(self):
         """Guards against results with an error in their text, or a part of it.
@@ -194,7 +194,7 @@
                     assert (name, result["State"]) == (name, "succeeded")
                     assert (name, result["Text"]) == (name, text)
 
-        play(230, scenario)
+        play(330, scenario)
 
 
 @PATHS
@@ -216,7 +216,7 @@
                     # Less than the deadline.
                     assert (name, loop.time() - began_s < 1.5) == (name, True)
 
-        play(215, scenario)
+        play(315, scenario)
 
     def test_a_head_that_ends_after_a_pause_is_whole(self, is_relayed):
         """Guards against whole answers that are taken for broken ones."""
@@ -228,7 +228,7 @@
                     response = await site.send(vm, f"/{kind}/1", kind)
                     assert response == (200, f"{kind}:x".encode(), True)
 
-        play(220, scenario)
+        play(320, scenario)
 
 
 @pytest.mark.xdist_group("faulty")
@@ -245,4 +245,4 @@
                     assert (name, result["State"]) == (name, "succeeded")
                     assert result["Score"] == seal_of(f"score-{result['Id']}")
 
-        play(225, scenario)
+        play(325, scenario)
--- a/packages/ebonylb_standins/tests/test_soak.py
+++ b/packages/ebonylb_standins/tests/test_soak.py
@@ -1,6 +1,8 @@
 """Short seeded soak runs, and broken variants that the soak's checks must report."""
 
 import asyncio
+import random
+import sys
 from types import SimpleNamespace
 
 import pytest
@@ -8,6 +10,7 @@
 from ebonylb_standins.site.control_plane import FakeControlPlane, RecordedCall
 from ebonylb_standins.soak import duties
 from ebonylb_standins.soak.customers import REVOKE_S, CustomerKeys
+from ebonylb_standins.soak.faults import terminate_and_restart
 from ebonylb_standins.soak.run import run_soak
 
 # Seeds of past failures, each with its cause.
@@ -110,3 +113,40 @@
             assert not keys.may_run(sending)
 
         asyncio.run(check())
+
+
+class TestFaults:
+    def test_a_terminated_process_may_be_replaced_by_another_fault(self):
+        """Guards against a soak that waits for the end of the next process.
+
+        Seed 4114 waited for ever: a kill came during the shutdown, and its restart
+        before the end of the first process had been noticed.
+        """
+
+        async def start():
+            program = "import time; time.sleep(60)"
+            return await asyncio.create_subprocess_exec(sys.executable, "-c", program)
+
+        async def scenario():
+            first, second = await start(), await start()
+            vm = SimpleNamespace(name="vm-0", process=first, send_signal=lambda _: None)
+            restarted = []
+
+            async def restart(entry_vm):
+                restarted.append(entry_vm.name)
+
+            site = SimpleNamespace(vms={vm.name: vm}, restart=restart)
+            fault = asyncio.create_task(terminate_and_restart(site, random.Random(1)))
+            await asyncio.sleep(0.1)
+            first.kill()
+            vm.process = second
+            try:
+                async with asyncio.timeout(10):
+                    await fault
+                assert restarted == ["vm-0"]
+                assert second.returncode is None
+            finally:
+                second.kill()
+                await second.wait()
+
+        asyncio.run(scenario())
