--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -172,6 +172,7 @@
         self.transports = set()
         self.beat_task = None
         self.read_bytes_per_s = 0
+        self.controls = {}
 
     async def start(self):
         self.born = int(time.time() * 1000)
@@ -203,9 +204,14 @@
             "ColdRemainingMs": 0,
             "Sequence": self.sequence,
             "born": self.born,
+            **self.more_fields(),
         }
         self.site.store.put("servers", self.instance, json.dumps(entry).encode())
 
+    def more_fields(self):
+        """Return the further fields of the entry."""
+        return {}
+
     async def beat(self):
         while True:
             await asyncio.sleep(HEARTBEAT_S)
@@ -262,6 +268,8 @@
             "Ebonylb-Instance-Id": self.instance,
         }
         request_id = request.headers.get("Ebonylb-Request-Id")
+        if request_id is None and request.path in self.controls:
+            return await self.controls[request.path](request)
         if request_id is None:
             return web.Response(status=200, headers=headers)
         headers["Ebonylb-Request-Id"] = request_id
@@ -486,9 +494,12 @@
     async def start_store(self):
         self.store_address = await self.listen(self.store.build_app())
 
-    def configure(self, version, routes, services, limits=None):
-        """Write a configuration; the store's answer is the acknowledgement."""
-        limits = limits or {
+    def configure(self, version, routes, services, engines=None):
+        """Write a configuration; the store's answer is the acknowledgement.
+
+        `engines` has the `Engine` of model services by the name of the service.
+        """
+        limits = {
             "MaxHeaderBytes": 16_384,
             "MaxBodyBytes": 33_554_432,
             "HeaderTimeoutMs": 5_000,
@@ -497,14 +508,17 @@
         value = {
             "Version": version,
             "Routes": routes,
-            "Services": [{"Name": name, "MaxConns": 180} for name in services],
+            "Services": [
+                {"Name": name, "MaxConns": 180, "Engine": (engines or {}).get(name)}
+                for name in services
+            ],
             "Limits": limits,
         }
         self.store.put("op", "config", json.dumps(value).encode())
         self.record.write("configuration", version=version)
 
-    async def add_replica(self, *options, **more):
-        replica = Replica(self, *options, **more)
+    async def add_replica(self, *options, kind=Replica, **more):
+        replica = kind(self, *options, **more)
         self.replicas.append(replica)
         await replica.start()
         return replica
