review: streams are joined from two software versions while the store is slow

Tried: 18 streams begin at a machine while each answer of the store takes 240 ms and two software versions serve; after a SIGTERM their clients take them up elsewhere.

--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -49,6 +49,8 @@
     """The platform's metadata store (PROTOCOL.md), linearizable, without faults."""
 
     def __init__(self):
+        self.delay_s = 0.004
+        self.is_down = False
         self.rows = {}
         self.log = []
         self.version = 0
@@ -78,13 +80,20 @@
         self.apply([], [], [(table, "", key)])
 
     def build_app(self):
-        app = web.Application(client_max_size=4_000_000)
+        app = web.Application(client_max_size=4_000_000, middlewares=[self.check_up])
         app.router.add_post("/api/rows-tx", self.transact)
         app.router.add_get("/api/rows-get", self.get)
         app.router.add_get("/api/rows-feed", self.feed)
         app.router.add_get("/api/rows-parts", self.parts)
         return app
 
+    @web.middleware
+    async def check_up(self, request, handler):
+        """Answer 503 to every call while the store is down: nothing was done."""
+        if self.is_down:
+            return web.Response(status=503)
+        return await handler(request)
+
     def answer(self, rows, status=200, has_more=False, version=None):
         fields = []
         for version_of_row, (table, part, key), value in rows:
@@ -105,7 +114,7 @@
         if {f["Table"] for f in body["Puts"] + body["Deletes"]} & {"op", "servers"}:
             return web.Response(status=403)
         expected = [(at(f), f["Ver"]) for f in body["Expected"]]
-        await asyncio.sleep(0.004)
+        await asyncio.sleep(self.delay_s)
         puts = [(at(f), f["Value"]) for f in body["Puts"]]
         if self.apply(expected, puts, [at(f) for f in body["Deletes"]]):
             return self.answer([])
@@ -113,7 +122,7 @@
         return self.answer([(ver, a, value) for ver, value, a in now], status=412)
 
     async def get(self, request):
-        await asyncio.sleep(0.004)
+        await asyncio.sleep(self.delay_s)
         q = request.query
         table, part = q["Table"], q.get("part", "")
         first, end = q.get("From", ""), q.get("Target", "")
@@ -127,7 +136,7 @@
         return self.answer(page, has_more=len(rows) > limit)
 
     async def feed(self, request):
-        await asyncio.sleep(0.004)
+        await asyncio.sleep(self.delay_s)
         q = request.query
         table, after = q["Table"], int(q["After"])
         deadline = time.monotonic() + int(q["WaitMs"]) / 1000
@@ -159,9 +168,10 @@
     heartbeat intervals of silence.
     """
 
-    def __init__(self, site, name, service, zone, run, slots=32):
+    def __init__(self, site, name, service, zone, run, slots=32, version="v1"):
         self.site, self.name, self.service, self.zone = site, name, service, zone
         self.run, self.slots = run, slots
+        self.software_version = version
         self.instance = f"{name}-1"
         self.starts = 1
         self.state = "ready"
@@ -198,7 +208,7 @@
             "Service": self.service,
             "Address": f"127.0.0.1:{self.port}",
             "Zone": self.zone,
-            "Version": "v1",
+            "Version": self.software_version,
             "Slots": self.slots,
             "State": self.state,
             "ColdRemainingMs": 0,
@@ -222,6 +232,14 @@
         self.state = "draining"
         self.write_entry()
 
+    async def leave(self):
+        """Remove the entry and end, some time after `draining` was reported."""
+        self.beat_task.cancel()
+        self.site.store.delete("servers", self.instance)
+        self.site.record.write("left", replica=self.name)
+        self.is_up = False
+        await self.runner.cleanup()
+
     async def crash(self, down_s):
         """End at once with all connections reset; start again after `down_s`."""
         if not self.is_up:
