--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,4 +4,5 @@
 root=$(cd "$here/../.." && pwd)
 [ -f "$root/target/review-2/case_9.py" ] && [ -d "$root/target/deps" ] || exit 2
 export TROUBLE="${TROUBLE:-1}" REVIEW_ROOT="$root" PYTHONPATH="$root/target/deps"
+python3 -c "import aiohttp, uvloop" || exit 2
 exec python3 "$root/target/review-2/case_9.py" "$here/record.txt"
--- a/review/standins-2/case_7.py
+++ b/review/standins-2/case_7.py
@@ -7,8 +7,8 @@
 from harness import BROKEN, HELD, NOT_RUN, TROUBLE, Connection, main, make_route
 
 DRAIN_S = 2.5  # DrainMs
-# An entry of another writer: none of a replica's fields, and a list in lists in place of
-# them. 4 KB, of the 64 that a row may have.
+# An entry of another writer: none of a replica's fields, and a list in lists in place
+# of them. 4 KB, of the 64 that a row may have.
 DEPTH = 2_000
 UNREADABLE = b'{"Tree":' + b"[" * DEPTH + b"]" * DEPTH + b"}"
 
--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from pathlib import Path
 
 from aiohttp import web
@@ -588,7 +589,8 @@
                 async with asyncio.timeout(110):
                     await site.start_store()
                     code = await play(site)
-            except (TimeoutError, OSError) as error:
+            except Exception as error:
+                traceback.print_exc()
                 site.record.write("could not run", cause=repr(error))
                 code = NOT_RUN
             finally:
