--- a/review/standins-2/case_8.py
+++ b/review/standins-2/case_8.py
@@ -7,6 +7,9 @@
 from harness import BROKEN, HELD, NOT_RUN, TROUBLE, Connection, main, make_route
 
 DRAIN_S = 2.5  # DrainMs
+WORK_S, SLOTS = 0.1, 6
+# For each machine: enough that it needs more than one replica with 6 slots.
+CLIENTS = 5
 # An entry of another writer: none of a replica's fields, and a list in lists in place
 # of them. 4 KB, of the 64 that a row may have.
 DEPTH = 2_000
@@ -14,7 +17,7 @@
 
 
 async def run_plain(replica, request, request_id, headers, body):
-    await asyncio.sleep(0.02)
+    await asyncio.sleep(WORK_S)
     return web.Response(body=f"{request_id}:".encode() + body, headers=headers)
 
 
@@ -40,14 +43,16 @@
     record = site.record
     site.configure(1, [make_route("ask", "/ask/", "idempotent", "desk")], ["desk"])
     for number, zone in enumerate(("north", "south", "east")):
-        await site.add_replica(f"desk-{number}", "desk", zone, run_plain)
+        await site.add_replica(f"desk-{number}", "desk", zone, run_plain, slots=SLOTS)
     for number, zone in enumerate(("north", "south", "east")):
         await site.add_vm(number, zone)
     for vm in site.vms:
         if not await vm.wait_ready():
             return NOT_RUN
     state = {"ended": False, "answers": []}
-    clients = [asyncio.create_task(client(site, vm, state)) for vm in site.vms * 2]
+    clients = [
+        asyncio.create_task(client(site, vm, state)) for vm in site.vms * CLIENTS
+    ]
     await asyncio.sleep(3)
     if TROUBLE:
         site.store.put("servers", "another-writer", UNREADABLE)
