responses: a status outside 200 to 599 is no answer

Seen by callers: a server's response with status 000 was passed on as an answer, to idempotent requests and streams as the status line `HTTP/1.1 0 `. No other server was asked, although attempts were left. Scoring requests that got it made their items errored. At the adapter, orders, reports, the store's client and usage reports took it for a response, too.

Cause: llhttp accepts any three digits, and aiohttp ends its wait for interim responses at any status that is not from 100 to 199, and at 101. Nothing behind it looked at the range: status 0 is neither below 500 in one place nor a success in another.

Change: the bytes of a head are checked line by line before they are parsed, by one module that each connection of StrictConnector uses (adapters/response_heads.py). A malformed status line is an error as soon as it is complete, and aborts the connection.

Why it works: all HTTP clients of the entry VM (servers, store, platform's API, other entry VMs, and those of the own protocol) get their responses from these connections, so that an attempt ends as one without an answer: another server is asked where the request may run again, and the caller gets 502 otherwise.

--- a/packages/ebonylb/src/ebonylb/adapters/connections.py
+++ b/packages/ebonylb/src/ebonylb/adapters/connections.py
@@ -1,10 +1,11 @@
 """Connections of the HTTP clients that never mistake one response for another.
 
-The connections of aiohttp are more lenient in four cases. A response without a length
+The connections of aiohttp are more lenient in five cases. A response without a length
 ends with its connection, and a connection that is reset also ends it. Bytes that arrive
 while a connection is idle are taken as the response to the next request. Interim
 responses, and what frames a body, may come without end. Bytes that frame no body close
-the connection, but the body's reader goes on waiting.
+the connection, but the body's reader goes on waiting. Heads that are none by the
+grammar are accepted.
 """
 
 import asyncio
@@ -15,6 +16,7 @@
 from aiohttp.helpers import set_exception
 
 from ..interfaces.server_client import ServerActivity
+from .response_heads import HeadCheck, MalformedHeadError
 
 # Bytes that a connection accepts without a byte of a body: the head of a response with
 # its interim responses, or chunk extensions and trailers.
@@ -22,7 +24,7 @@
 
 
 class StrictConnection(ResponseHandler):
-    """Connection whose unfinished, unexpected or endless responses are never used.
+    """Connection that never uses a broken response, or one that nobody asked for.
 
     Parameters
     ----------
@@ -33,6 +35,8 @@
     ----------
     bytes_without_body : int
         Number of bytes received since the last byte of a body.
+    head_check : HeadCheck
+        Check of the head of the current response.
     """
 
     bytes_without_body = 0
@@ -42,15 +46,22 @@
     ) -> None:
         super().__init__(loop)
         self.activity = activity
+        self.head_check = HeadCheck()
 
     def set_response_params(self, **options: object) -> None:
         """Prepare for the response to the next request."""
         self.bytes_without_body = 0
+        self.head_check = HeadCheck()
         super().set_response_params(**options)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes, and abort the connection if no body comes of them."""
+        """Parse received bytes, and abort the connection if they are no response."""
         self.activity.last_received_ms = self._loop.time() * 1000
+        try:
+            self.head_check.feed(data)
+        except MalformedHeadError as error:
+            self.fail(aiohttp.ClientPayloadError(str(error)))
+            return
         body, body_bytes = self.read_progress()
         super().data_received(data)
         error = self.exception()
@@ -65,6 +76,10 @@
         error = aiohttp.ClientPayloadError("response without an end")
         if self._payload is not None and not self._payload.is_eof():
             set_exception(self._payload, error)
+        self.fail(error)
+
+    def fail(self, error: aiohttp.ClientError) -> None:
+        """End the wait for a response with an error, and abort the connection."""
         transport = self.transport
         self.set_exception(error)
         if transport is not None:
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/faulty_answers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/faulty_answers.py
@@ -22,7 +22,9 @@
 Answer = Callable[[str, str], list[str]]
 
 
-def make_head(request_id: str, status: int = 200, seal: bool = True, **fields) -> str:
+def make_head(
+    request_id: str, status: int | str = 200, seal: bool = True, **fields
+) -> str:
     """Return the lines of a head, without the empty line at its end.
 
     Underscores in the names of `fields` are sent as hyphens.
@@ -65,9 +67,25 @@
     return answer
 
 
+def make_plain(status: int | str = 200, **fields) -> Answer:
+    """Return a complete answer with the sound body; `fields` are added to its head."""
+
+    def answer(request_id: str, body: str) -> list[str]:
+        head = make_head(request_id, status, Content_Length=len(body), **fields)
+        return [f"{head}\r\n{body}"]
+
+    return answer
+
+
+# Sound but for their heads, which are none by the protocol's grammar.
+MALFORMED_HEADS: dict[str, Answer] = {
+    "status 000": make_plain("000"),
+    "status 600": make_plain(600),
+}
 # Answers of a server that should go on with a stream, none of which does. They get the
 # request's id and the next event of the stream.
 BROKEN_CONTINUATIONS: dict[str, Answer] = {
+    **MALFORMED_HEADS,
     "sealed 500": make_error(500, seal=True),
     "500": make_error(500, seal=False),
     "503 that ran": make_error(503, seal=True),
@@ -92,6 +110,7 @@
 # Answers of a server that runs a plain request, none of which is whole. The second
 # argument is the body that a sound server sends.
 BROKEN_ANSWERS: dict[str, Answer] = {
+    **MALFORMED_HEADS,
     "half a head": lambda request_id, body: [make_head(request_id)],
     "half a head with a length": lambda request_id, body: [
         make_head(request_id, Content_Length=0)
@@ -127,14 +146,18 @@
     answer : callable or None
         Answer to plain requests and to requests to go on with a stream; None for sound
         ones. With an answer, streams break off in the middle.
+    answers_new_streams : bool
+        Whether the answer is also that to new streams.
     """
 
     answer: Answer | None = None
+    answers_new_streams: bool = False
 
     async def handle_request(self, request: web.Request) -> web.StreamResponse:
         """Send the answer, or run the request as a sound server does."""
         is_taken_up = "Last-Event-Id" in request.headers
-        if self.answer is None or (self.models and not is_taken_up):
+        is_new_stream = bool(self.models) and not is_taken_up
+        if self.answer is None or (is_new_stream and not self.answers_new_streams):
             self.fault = "" if self.answer is None else "reset"
             return await super().handle_request(request)
         request_id = request.headers.get("Ebonylb-Request-Id", "")
--- a/packages/ebonylb_standins/tests/test_faulty_answers.py
+++ b/packages/ebonylb_standins/tests/test_faulty_answers.py
@@ -16,6 +16,7 @@
 from ebonylb_standins.site.faulty_answers import (
     BROKEN_ANSWERS,
     BROKEN_CONTINUATIONS,
+    MALFORMED_HEADS,
     FaultyServer,
     pause_in_head,
 )
@@ -156,6 +157,61 @@
         play(305, scenario)
 
 
+@PATHS
+@pytest.mark.xdist_group("faulty")
+class TestMalformedHeads:
+    """An answer without a valid head is none, so that another server is asked."""
+
+    def test_a_stream_does_not_begin_with_it(self, is_relayed):
+        """Guards against a status such as 000 in place of a stream."""
+
+        async def scenario(site):
+            for server in site.servers.values():
+                server.answers_new_streams = True
+            async for name, vm in site.each_answer(MALFORMED_HEADS, ENGINE, is_relayed):
+                for kind in ("chat", "live"):
+                    status, received, _ = await site.send(
+                        vm, f"/{kind}/{EVENTS}", f"{kind} {name}"
+                    )
+                    assert (name, kind, status) == (name, kind, 502)
+                    assert json.loads(received)["outcome"] == "may_have_run"
+
+        play(335, scenario)
+
+    def test_a_stream_begins_at_a_sound_server(self, is_relayed):
+        """Guards against a stream that no other server is asked for.
+
+        A stream that is passed on has one attempt less.
+        """
+        sound = ("lm1", "lm2") if is_relayed else ("lm2",)
+
+        async def scenario(site):
+            for server in site.servers.values():
+                server.answers_new_streams = True
+            async for name, vm in site.each_answer(MALFORMED_HEADS, ENGINE, is_relayed):
+                for server in sound:
+                    site.servers[server].answer = None
+                for number in range(6):
+                    stream_id = f"{name}-{number}"
+                    response = await site.send(vm, f"/chat/{EVENTS}", stream_id)
+                    assert response == (200, make_events(stream_id), True)
+
+        play(340, scenario)
+
+    def test_an_idempotent_request_runs_at_a_sound_server(self, is_relayed):
+        """Guards against a request that no other server is asked for."""
+
+        async def scenario(site):
+            async for name, vm in site.each_answer(MALFORMED_HEADS, DESK, is_relayed):
+                site.servers["desk1"].answer = None
+                for number in range(6):
+                    request_id = f"{name}-{number}"
+                    response = await site.send(vm, "/ask/1", request_id)
+                    assert response == (200, f"{request_id}:x".encode(), True)
+
+        play(345, scenario)
+
+
 @pytest.mark.xdist_group("faulty items")
 class TestContinuations:
     def test_a_stream_goes_on_at_a_sound_server(self):
