responses: a malformed name of a field makes the response none

Seen by callers: a response with a blank between the name and the colon, `Content-Length : 2` or `Transfer-Encoding : chunked`, was passed on as 200 with that line in its head, so that the caller's client failed on it, or took another body. A line that begins with a blank was joined to the value before it. Streams that were taken up ended as whole with a part of their events.

Cause: llhttp is lenient with responses. For the names that frame a message it drops a blank before the colon, and so takes the framing from a field that aiohttp reports under the name with the blank, which no check of names behind it finds.

Change: HeadCheck compares each line of a head with the grammar: a token, a colon, a value. A line that begins with a blank is refused, as RFC 9112 allows for the old line folding.

Why it works: the check reads the bytes themselves, before the parser has joined or cut lines.

--- a/packages/ebonylb/src/ebonylb/adapters/response_heads.py
+++ b/packages/ebonylb/src/ebonylb/adapters/response_heads.py
@@ -14,6 +14,9 @@
 STATUS_LINE = re.compile(
     rb"HTTP/1\.[01] (?!101)([1-5][0-9]{2})(?: .*)?\r?\n", re.DOTALL
 )
+# A line that begins with a blank continues the line before it in older versions of the
+# protocol, and is refused as RFC 9112 allows.
+FIELD_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:.*\r?\n", re.DOTALL)
 FIRST_FINAL_STATUS = 200
 
 
@@ -71,6 +74,8 @@
         elif is_empty:
             self.is_over = self.status >= FIRST_FINAL_STATUS
             self.status = None
+        elif FIELD_LINE.fullmatch(line) is None:
+            raise MalformedHeadError("field line", line)
 
     def read_status(self, line: bytes) -> int:
         """Return the status in a status line."""
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/faulty_answers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/faulty_answers.py
@@ -67,20 +67,52 @@
     return answer
 
 
-def make_plain(status: int | str = 200, **fields) -> Answer:
-    """Return a complete answer with the sound body; `fields` are added to its head."""
+def make_plain(
+    *lines: str, status: int | str = 200, length_name: str = "Content-Length"
+) -> Answer:
+    """Return a complete answer with the sound body.
+
+    Parameters
+    ----------
+    *lines : str
+        Further lines of the head.
+    length_name : str
+        Name of the field with the length of the body.
+    """
+
+    def answer(request_id: str, body: str) -> list[str]:
+        head = make_head(request_id, status, **{length_name: len(body)})
+        return [head + "".join(f"{line}\r\n" for line in lines) + f"\r\n{body}"]
+
+    return answer
+
+
+def make_chunked(field: str) -> Answer:
+    """Return a complete answer with the sound body in one chunk.
+
+    Parameters
+    ----------
+    field : str
+        Line of the head that says so.
+    """
 
     def answer(request_id: str, body: str) -> list[str]:
-        head = make_head(request_id, status, Content_Length=len(body), **fields)
-        return [f"{head}\r\n{body}"]
+        chunks = make_chunk(body) + make_chunk("")
+        return [f"{make_head(request_id)}{field}\r\n\r\n{chunks}"]
 
     return answer
 
 
 # Sound but for their heads, which are none by the protocol's grammar.
 MALFORMED_HEADS: dict[str, Answer] = {
-    "status 000": make_plain("000"),
-    "status 600": make_plain(600),
+    "status 000": make_plain(status="000"),
+    "status 600": make_plain(status=600),
+    "blank after a name": make_plain("X-Part : 1"),
+    "blank after the length": make_plain(length_name="Content-Length "),
+    "blank after the coding": make_chunked("Transfer-Encoding : chunked"),
+    "blank before a name": make_plain(" X-Part: 1"),
+    "blank in a name": make_plain("X Part: 1"),
+    "control byte in a name": make_plain("X\x01Part: 1"),
 }
 # Answers of a server that should go on with a stream, none of which does. They get the
 # request's id and the next event of the stream.
