responses: a control byte in a value or a reason makes the response none

Seen by callers: a response of a server with a control byte in the value of a field was taken, and its caller got no answer that its client could read, although other servers had not been asked. A reason with one was taken as well; it is not passed on.

Cause: llhttp is lenient with values of responses, and aiohttp refuses only a zero byte in them. RFC 9110 calls all control bytes but tabs invalid in a value.

Zero bytes and single carriage returns in values were refused before; their tests are kept.

Change: the lines that HeadCheck accepts have no control bytes but tabs.

Why it works: as for names, the bytes are compared with the grammar before they are parsed. Values and reasons in UTF-8 and Latin-1 are accepted as before, which the tests of sound heads show.

--- a/packages/ebonylb/src/ebonylb/adapters/response_heads.py
+++ b/packages/ebonylb/src/ebonylb/adapters/response_heads.py
@@ -9,14 +9,15 @@
 LINE_END = b"\n"
 # Characters of a malformed line that an error shows.
 MAX_SHOWN_BYTES = 100
+# Text of values and reasons, which has no control bytes but tabs.
+TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
+TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 # The status is one of RFC 9110: others are invalid, and 101 answers a request to change
 # the protocol, which nobody sends. A missing blank before an empty reason is accepted.
-STATUS_LINE = re.compile(
-    rb"HTTP/1\.[01] (?!101)([1-5][0-9]{2})(?: .*)?\r?\n", re.DOTALL
-)
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] (?!101)([1-5][0-9]{2})(?: %b)?\r?\n" % TEXT)
 # A line that begins with a blank continues the line before it in older versions of the
 # protocol, and is refused as RFC 9112 allows.
-FIELD_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:.*\r?\n", re.DOTALL)
+FIELD_LINE = re.compile(rb"%b:%b\r?\n" % (TOKEN, TEXT))
 FIRST_FINAL_STATUS = 200
 
 
--- a/packages/ebonylb/tests/test_response_heads.py
+++ b/packages/ebonylb/tests/test_response_heads.py
@@ -283,6 +283,30 @@
         assert connections == 2
 
 
+class TestFieldValues:
+    """A value, like a reason, has no control bytes but tabs."""
+
+    @pytest.mark.parametrize("reader", READERS)
+    @pytest.mark.parametrize(
+        "make",
+        [
+            with_line(b"X-Part: a\0b"),
+            with_line(b"X-Part: a\x01b"),
+            with_line(b"X-Part: a\x0bb"),
+            with_line(b"X-Part: a\rb"),
+            with_line(b"X-Part: a\x7fb"),
+            with_status(b"200 O\0K"),
+            with_status(b"200 O\x01K"),
+        ],
+        ids=["zero", "control", "tab", "return", "delete", "zero reason", "reason"],
+    )
+    def test_a_control_byte_is_an_error(self, reader, make):
+        result, connections = run(read_malformed(reader, make))
+        assert isinstance(result, Err)
+        assert result.err_value.may_have_run
+        assert connections == 2
+
+
 class TestSoundHeads:
     @pytest.mark.parametrize("name", SOUND_RESPONSES)
     def test_a_sound_response_is_read(self, name):
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/faulty_answers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/faulty_answers.py
@@ -113,6 +113,7 @@
     "blank before a name": make_plain(" X-Part: 1"),
     "blank in a name": make_plain("X Part: 1"),
     "control byte in a name": make_plain("X\x01Part: 1"),
+    "control byte in a value": make_plain("X-Part: a\x01b"),
 }
 # Answers of a server that should go on with a stream, none of which does. They get the
 # request's id and the next event of the stream.
