responses: a transfer coding other than chunks makes the response none

Seen by callers: the body of a response with `Transfer-Encoding: gzip`, `identity` or an unknown coding was passed on as it came, without the line that says how it is coded. One whose last coding is not chunked was read to the end of its connection, so that chunk sizes became part of the body.

Cause: llhttp takes any coding; nothing behind it compares it with what was asked for, and servers are asked for none.

Evidence: on the code before, test_response_heads.py fails in 46 of its 88 cases of codings: 38 of another coding or several, and 8 of chunks in HTTP/1.0, whose framing RFC 9112 calls faulty.

Change: HeadCheck accepts one coding, chunked, once, in HTTP/1.1.

Why it works: the body is framed by a length, by chunks or by the end of its connection, and in no other way that a caller is not told of.

--- a/packages/ebonylb/src/ebonylb/adapters/response_heads.py
+++ b/packages/ebonylb/src/ebonylb/adapters/response_heads.py
@@ -7,6 +7,7 @@
 import re
 
 LINE_END = b"\n"
+EMPTY_LINES = (b"\r\n", b"\n")
 # Characters of a malformed line that an error shows.
 MAX_SHOWN_BYTES = 100
 # Text of values and reasons, which has no control bytes but tabs.
@@ -15,9 +16,11 @@
 # The status is one of RFC 9110: others are invalid, and 101 answers a request to change
 # the protocol, which nobody sends. A missing blank before an empty reason is accepted.
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] (?!101)([1-5][0-9]{2})(?: %b)?\r?\n" % TEXT)
+FIRST_VERSION = b"HTTP/1.0"
 # A line that begins with a blank continues the line before it in older versions of the
 # protocol, and is refused as RFC 9112 allows.
-FIELD_LINE = re.compile(rb"%b:%b\r?\n" % (TOKEN, TEXT))
+FIELD_LINE = re.compile(rb"(%b):(%b)\r?\n" % (TOKEN, TEXT))
+CODING_NAME = b"transfer-encoding"
 FIRST_FINAL_STATUS = 200
 
 
@@ -40,6 +43,10 @@
         Bytes after the last complete line.
     status : int or None
         Status of the head that is being received; None before its status line.
+    may_be_chunked : bool
+        Whether the head that is being received may still state that its body comes in
+        chunks, as it may once. Nobody asks servers for another transfer coding, and
+        version 1.0 of the protocol has none.
     is_over : bool
         Whether the head of the final response is complete.
     """
@@ -47,6 +54,7 @@
     def __init__(self) -> None:
         self.incomplete_line = b""
         self.status: int | None = None
+        self.may_be_chunked = False
         self.is_over = False
 
     def feed(self, data: bytes) -> None:
@@ -59,28 +67,39 @@
         """
         if self.is_over:
             return
-        *lines, self.incomplete_line = (self.incomplete_line + data).split(LINE_END)
-        for line in lines:
-            self.check_line(line + LINE_END)
-            if self.is_over:
-                self.incomplete_line = b""
-                return
+        buffer, start = self.incomplete_line + data, 0
+        while not self.is_over and (end := buffer.find(LINE_END, start) + 1):
+            self.check_line(buffer[start:end])
+            start = end
+        self.incomplete_line = b"" if self.is_over else buffer[start:]
 
     def check_line(self, line: bytes) -> None:
         """Check one complete line."""
-        is_empty = not line.strip(b"\r\n")
+        is_empty = line in EMPTY_LINES
         if self.status is None:
             if not is_empty:
                 self.status = self.read_status(line)
         elif is_empty:
             self.is_over = self.status >= FIRST_FINAL_STATUS
             self.status = None
-        elif FIELD_LINE.fullmatch(line) is None:
-            raise MalformedHeadError("field line", line)
+        else:
+            self.check_field(line)
 
     def read_status(self, line: bytes) -> int:
         """Return the status in a status line."""
         match = STATUS_LINE.fullmatch(line)
         if match is None:
             raise MalformedHeadError("status line", line)
+        self.may_be_chunked = not line.startswith(FIRST_VERSION)
         return int(match[1])
+
+    def check_field(self, line: bytes) -> None:
+        """Check the line of a field."""
+        match = FIELD_LINE.fullmatch(line)
+        if match is None:
+            raise MalformedHeadError("field line", line)
+        if match[1].lower() != CODING_NAME:
+            return
+        if not self.may_be_chunked or match[2].strip(b" \t").lower() != b"chunked":
+            raise MalformedHeadError("transfer coding", line)
+        self.may_be_chunked = False
--- a/packages/ebonylb/tests/test_response_heads.py
+++ b/packages/ebonylb/tests/test_response_heads.py
@@ -307,6 +307,52 @@
         assert connections == 2
 
 
+CHUNKS = b"2\r\n{}\r\n0\r\n\r\n"
+
+
+class TestTransferCodings:
+    """A body has a length, comes in chunks, or ends with its connection."""
+
+    # Guards against bodies whose coding a caller is not told of.
+    @pytest.mark.parametrize("reader", READERS)
+    @pytest.mark.parametrize(
+        "coding",
+        [
+            b"gzip",
+            b"identity",
+            b"gzip, chunked",
+            b"chunked, gzip",
+            b"chunked, chunked",
+            b"xchunked",
+            b"chunked;a=1",
+            b"",
+            b"chunked\r\nTransfer-Encoding: identity",
+            b"chunked\r\nTransfer-Encoding: chunked",
+        ],
+        ids=str,
+    )
+    def test_another_coding_than_chunks_is_an_error(self, reader, coding):
+        line = b"Transfer-Encoding: " + coding
+        make = with_line(line, length=False, body=CHUNKS)
+        result, connections = run(read_malformed(reader, make))
+        assert isinstance(result, Err)
+        assert result.err_value.may_have_run
+        assert connections == 2
+
+    @pytest.mark.parametrize("reader", READERS)
+    def test_chunks_of_the_first_version_are_an_error(self, reader):
+        """RFC 9112 takes their framing for faulty."""
+
+        def make(lines):
+            status_line, coding = b"HTTP/1.0 200 OK", b"Transfer-Encoding: chunked"
+            options = {"body": CHUNKS, "length": False}
+            return make_response(status_line, *lines, coding, **options)
+
+        result, connections = run(read_malformed(reader, make))
+        assert isinstance(result, Err)
+        assert connections == 2
+
+
 class TestSoundHeads:
     @pytest.mark.parametrize("name", SOUND_RESPONSES)
     def test_a_sound_response_is_read(self, name):
