relay: values of fields that are no UTF-8 are passed on

Seen by callers: a sound answer with a Latin-1 character in the value of a field got 502, outcome may_have_run, when its entry VM was cut off from the servers and had passed the request on, although the server had run it. A request with such a value could not be passed on, and got the same.

Cause: aiohttp decodes bytes that are no UTF-8 to surrogates, which msgpack texts cannot hold, so that the encoder raised an error at the entry VM that sends.

Change: such a byte is sent as a character of the last plane of Unicode, and that plane's characters as their bytes, so that each value has one form and comes back unchanged.

--- a/packages/ebonylb/src/ebonylb/adapters/relay_http.py
+++ b/packages/ebonylb/src/ebonylb/adapters/relay_http.py
@@ -4,10 +4,16 @@
 frames, each with its length in four bytes: first the head as a msgpack value, then the
 body, or each event of a stream, and at last an empty frame. Without that frame the
 response broke off.
+
+Values of fields may hold bytes that are no UTF-8, which a msgpack text cannot hold.
+Such a byte is sent as a character of the last plane of Unicode; those characters
+themselves are sent as their bytes.
 """
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import replace
+from typing import TypeVar
 
 import aiohttp
 import msgspec
@@ -26,6 +32,8 @@
 from .connections import accepts_connection
 from .http import NOT_SENT_ERRORS, describe_error
 
+RelayedMessage = TypeVar("RelayedMessage", RelayedRequest, ResponseHead)
+
 RELAY_PATH = "/relay"
 # An entry VM accepts a connection within about 30 ms, also in other regions.
 CONNECT_TIMEOUT_S = 0.2
@@ -34,11 +42,49 @@
 # A body of the largest size, and an event of any size that a server may send.
 MAX_FRAME_BYTES = 33_554_432
 
+# Python's `surrogateescape` decodes a byte that is no UTF-8 to this plus the byte.
+SURROGATE_OFFSET = 0xDC00
+SENT_OFFSET = 0x10FF00
+ESCAPED_BYTES = range(0x80, 0x100)
+ESCAPES = {SURROGATE_OFFSET + byte: SENT_OFFSET + byte for byte in ESCAPED_BYTES} | {
+    SENT_OFFSET + byte: "".join(
+        chr(SENT_OFFSET + part) for part in chr(SENT_OFFSET + byte).encode()
+    )
+    for byte in ESCAPED_BYTES
+}
+SURROGATES = {SENT_OFFSET + byte: SURROGATE_OFFSET + byte for byte in ESCAPED_BYTES}
+
 encoder = msgspec.msgpack.Encoder()
 request_decoder = msgspec.msgpack.Decoder(RelayedRequest)
 head_decoder = msgspec.msgpack.Decoder(ResponseHead)
 
 
+def escape(value: str) -> str:
+    """Return a value of a field as text without surrogates."""
+    return value.translate(ESCAPES)
+
+
+def unescape(value: str) -> str:
+    """Return the value that `escape` got."""
+    data = value.translate(SURROGATES).encode("utf-8", "surrogateescape")
+    return data.decode("utf-8", "surrogateescape")
+
+
+def change_values(
+    message: RelayedMessage, change: Callable[[str], str]
+) -> RelayedMessage:
+    """Return a message whose values beyond ASCII are changed."""
+    if all(value.isascii() for _, value in message.headers):
+        return message
+    headers = tuple((name, change(value)) for name, value in message.headers)
+    return replace(message, headers=headers)
+
+
+def encode(message: RelayedRequest | ResponseHead) -> bytes:
+    """Return the bytes of a message."""
+    return encoder.encode(change_values(message, escape))
+
+
 def make_frame(data: bytes) -> bytes:
     """Return data with its length."""
     return len(data).to_bytes(LENGTH_BYTES, "big") + data
@@ -120,7 +166,7 @@
         try:
             response = await self.session.post(
                 f"http://{entry_vm.address}{RELAY_PATH}",
-                data=encoder.encode(request),
+                data=encode(request),
                 timeout=aiohttp.ClientTimeout(
                     total=None, sock_connect=CONNECT_TIMEOUT_S
                 ),
@@ -143,7 +189,8 @@
         try:
             if response.status != 200:
                 raise ValueError(f"HTTP status {response.status}")
-            return head_decoder.decode(await read_frame(response, MAX_HEAD_BYTES))
+            head = head_decoder.decode(await read_frame(response, MAX_HEAD_BYTES))
+            return change_values(head, unescape)
         except msgspec.MsgspecError as error:
             response.close()
             raise ValueError(f"malformed head: {error}") from error
@@ -171,13 +218,13 @@
         if request.path != RELAY_PATH or request.method != "POST":
             return web.Response(status=404)
         try:
-            relayed = request_decoder.decode(await request.read())
+            decoded = request_decoder.decode(await request.read())
         except msgspec.MsgspecError as error:
             return web.Response(status=400, text=str(error))
-        answer = await self.serve(relayed)
+        answer = await self.serve(change_values(decoded, unescape))
         if answer.chunks is not None:
             return await self.send_stream(request, answer)
-        frames = [encoder.encode(answer.head), b""]
+        frames = [encode(answer.head), b""]
         if answer.body:
             frames.insert(1, answer.body)
         return web.Response(body=b"".join(make_frame(frame) for frame in frames))
@@ -191,7 +238,7 @@
         response.enable_chunked_encoding()
         try:
             await response.prepare(request)
-            await response.write(make_frame(encoder.encode(answer.head)))
+            await response.write(make_frame(encode(answer.head)))
             async for chunk in answer.chunks:
                 await response.write(make_frame(chunk))
         except StepError as error:
--- a/packages/ebonylb/tests/test_relay.py
+++ b/packages/ebonylb/tests/test_relay.py
@@ -111,6 +111,28 @@
 
         run(scenario())
 
+    # Guards against sound requests and answers that are lost between two entry VMs.
+    @pytest.mark.parametrize(
+        "value", ["\xe9", "a\udce9b", "\udcf4\udc8f", "\U0010ffe9"]
+    )
+    def test_values_that_are_not_utf_8_arrive_unchanged(self, value):
+        async def scenario():
+            received = []
+            head = dataclasses.replace(HEAD, headers=(("X-Part", value),))
+
+            async def serve(request):
+                received.append(request)
+                return RelayedAnswer(head, chunks=chunks_of(b"id: 1\n\n"))
+
+            sent = dataclasses.replace(make_relayed(), headers=(("X-Part", value),))
+            async with relaying(serve) as (client, address):
+                opened = await client.open(address, sent)
+                assert opened.ok_value.head == head
+                opened.ok_value.close()
+            assert received == [sent]
+
+        run(scenario())
+
     def test_refusals_arrive_as_refusals(self):
         async def scenario():
             refusal = Refusal(Outcome.NOT_RUN, "overloaded", "all are full", 300)
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/faulty_answers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/faulty_answers.py
@@ -115,6 +115,15 @@
     "control byte in a name": make_plain("X\x01Part: 1"),
     "control byte in a value": make_plain("X-Part: a\x01b"),
 }
+# Sound answers with heads that the protocol's grammar allows and few servers send.
+SOUND_HEADS: dict[str, Answer] = {
+    "status 299": make_plain(status=299),
+    "UTF-8 in a value": make_plain("X-Part: \xc3\xa9"),
+    "Latin-1 in a value": make_plain("X-Part: \xe9"),
+    "all characters of a token": make_plain("!#$%&'*+-.^_`|~0zA: 1"),
+    "tab in a value": make_plain("X-Part: a\tb"),
+    "chunks": make_chunked("Transfer-Encoding: Chunked"),
+}
 # Answers of a server that should go on with a stream, none of which does. They get the
 # request's id and the next event of the stream.
 BROKEN_CONTINUATIONS: dict[str, Answer] = {
--- a/packages/ebonylb_standins/tests/test_faulty_answers.py
+++ b/packages/ebonylb_standins/tests/test_faulty_answers.py
@@ -17,6 +17,7 @@
     BROKEN_ANSWERS,
     BROKEN_CONTINUATIONS,
     MALFORMED_HEADS,
+    SOUND_HEADS,
     FaultyServer,
     pause_in_head,
 )
@@ -290,6 +291,22 @@
 
         play(320, scenario)
 
+    def test_unusual_heads_are_sound(self, is_relayed):
+        """Guards against a sound answer that is refused, or lost on its way."""
+
+        async def scenario(site):
+            async for name, vm in site.each_answer(SOUND_HEADS, DESK, is_relayed):
+                for kind in ("ask", "book"):
+                    request_id = f"{kind} {name}"
+                    status, received, is_whole = await site.send(
+                        vm, f"/{kind}/1", request_id
+                    )
+                    expected = (name, 299 if "299" in name else 200, True)
+                    assert (name, status, is_whole) == expected
+                    assert received == f"{request_id}:x".encode()
+
+        play(350, scenario)
+
 
 @pytest.mark.xdist_group("faulty")
 class TestScoring:
