relay: a malformed head is an error, also from another entry VM

Seen by callers: while entry VMs are released, one of the program before may pass on the head of a server's response that it should have refused, such as one with status 000.

Cause: between entry VMs a head travels decoded, so that the check of the bytes of HTTP responses does not see it.

Evidence: on the code before, TestHttp.test_a_malformed_head_is_an_error fails in 6 of 6 cases.

Change: the status and the fields of a relayed head are compared with the same grammar, by the module that has it.

Why it works: a head from another entry VM ends an attempt like one from a server.

--- a/packages/ebonylb/src/ebonylb/adapters/relay_http.py
+++ b/packages/ebonylb/src/ebonylb/adapters/relay_http.py
@@ -31,6 +31,7 @@
 from ..relay.receiver import RelayedAnswer
 from .connections import accepts_connection
 from .http import NOT_SENT_ERRORS, describe_error
+from .response_heads import check_decoded_head
 
 RelayedMessage = TypeVar("RelayedMessage", RelayedRequest, ResponseHead)
 
@@ -190,7 +191,9 @@
             if response.status != 200:
                 raise ValueError(f"HTTP status {response.status}")
             head = head_decoder.decode(await read_frame(response, MAX_HEAD_BYTES))
-            return change_values(head, unescape)
+            head = change_values(head, unescape)
+            check_decoded_head(head.status, head.headers)
+            return head
         except msgspec.MsgspecError as error:
             response.close()
             raise ValueError(f"malformed head: {error}") from error
--- a/packages/ebonylb/src/ebonylb/adapters/response_heads.py
+++ b/packages/ebonylb/src/ebonylb/adapters/response_heads.py
@@ -5,6 +5,7 @@
 """
 
 import re
+from collections.abc import Iterable
 
 LINE_END = b"\n"
 EMPTY_LINES = (b"\r\n", b"\n")
@@ -22,6 +23,7 @@
 FIELD_LINE = re.compile(rb"(%b):(%b)\r?\n" % (TOKEN, TEXT))
 CODING_NAME = b"transfer-encoding"
 FIRST_FINAL_STATUS = 200
+FINAL_STATUSES = range(FIRST_FINAL_STATUS, 600)
 
 
 class MalformedHeadError(ValueError):
@@ -31,6 +33,22 @@
         super().__init__(f"malformed {part}: {line[:MAX_SHOWN_BYTES]!r}")
 
 
+def check_decoded_head(status: int, fields: Iterable[tuple[str, str]]) -> None:
+    """Check the head of a final response that came decoded, by the same grammar.
+
+    Raises
+    ------
+    MalformedHeadError
+        The status is invalid, or a field could not be sent as one line.
+    """
+    if status not in FINAL_STATUSES:
+        raise MalformedHeadError("status", str(status).encode())
+    for name, value in fields:
+        line = f"{name}:{value}\n".encode("utf-8", "surrogateescape")
+        if FIELD_LINE.fullmatch(line) is None:
+            raise MalformedHeadError("field", line)
+
+
 class HeadCheck:
     """Checks the head of a response, and of its interim responses, line by line.
 
--- a/packages/ebonylb/tests/test_relay.py
+++ b/packages/ebonylb/tests/test_relay.py
@@ -133,6 +133,30 @@
 
         run(scenario())
 
+    # Guards against a broken answer that an entry VM of an earlier program passes on.
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"status": 0},
+            {"status": 101},
+            {"status": 600},
+            {"headers": (("Content-Length ", "2"),)},
+            {"headers": (("X\x01Part", "1"),)},
+            {"headers": (("X-Part", "a\nb"),)},
+        ],
+        ids=str,
+    )
+    def test_a_malformed_head_is_an_error(self, fields):
+        async def scenario():
+            async def serve(request):
+                return RelayedAnswer(dataclasses.replace(HEAD, **fields), b"body")
+
+            async with relaying(serve) as (client, address):
+                opened = await client.open(address, make_relayed())
+                assert isinstance(opened, Err) and opened.err_value.may_have_run
+
+        run(scenario())
+
     def test_refusals_arrive_as_refusals(self):
         async def scenario():
             refusal = Refusal(Outcome.NOT_RUN, "overloaded", "all are full", 300)
