event stream: an event without an end takes time in proportion to its bytes

Seen by callers: while a server sent an event without an end, the requests of all others at the entry VM waited for its event loop.

Cause: each piece was appended to what had come before, and the whole was searched again, so that the time grew with the square of the bytes.

Change: the pieces of an incomplete event are kept apart, and only the last one is searched, with the two bytes before it.

Why it works: an event ends with at most three bytes, so that its end is found with the piece in which it becomes complete.

--- a/packages/ebonylb/src/ebonylb/platform/event_stream.py
+++ b/packages/ebonylb/src/ebonylb/platform/event_stream.py
@@ -19,6 +19,7 @@
 
 # Two line ends in a row. CR LF is one line end: CR is a whole one only before CR.
 EVENT_END = re.compile(rb"\n(?:\n|\r\n?)|\r\r\n?")
+MAX_END_BYTES = 3
 
 
 def find_event_end(buffer: bytes, start: int = 0) -> int:
@@ -75,12 +76,20 @@
     ----------
     step, peer : str
         Step and peer of raised errors.
+
+    Attributes
+    ----------
+    pending : list of bytes
+        Chunks of an event that is not complete.
+    pending_bytes : int
+        Number of bytes in them.
     """
 
     def __init__(self, step: str, peer: str) -> None:
         self.step = step
         self.peer = peer
-        self.buffer = b""
+        self.pending: list[bytes] = []
+        self.pending_bytes = 0
         self.ignored_bytes = 0
 
     def feed(self, chunk: bytes) -> list[tuple[StreamEvent, bytes]]:
@@ -92,9 +101,25 @@
             An event cannot be decoded, or it or the comments before it are larger than
             `MAX_EVENT_BYTES`.
         """
-        buffer = self.buffer + chunk
-        if len(buffer) + self.ignored_bytes > MAX_EVENT_BYTES:
+        self.pending.append(chunk)
+        self.pending_bytes += len(chunk)
+        if self.pending_bytes + self.ignored_bytes > MAX_EVENT_BYTES:
             raise StepError(self.step, self.peer, "event without an end")
+        if len(self.pending) > 1 and not self.may_end_in_last():
+            return []
+        return self.take_events(b"".join(self.pending))
+
+    def may_end_in_last(self) -> bool:
+        """Return whether an event may end in the last chunk.
+
+        Earlier ones are not searched again, so that the time grows with the bytes.
+        """
+        last = self.pending[-1]
+        before = b"".join(self.pending[-MAX_END_BYTES:-1])[1 - MAX_END_BYTES :]
+        return EVENT_END.search(before + last) is not None
+
+    def take_events(self, buffer: bytes) -> list[tuple[StreamEvent, bytes]]:
+        """Decode the complete events in a buffer, and keep its rest."""
         events = []
         start = 0
         while end := find_event_end(buffer, start):
@@ -105,10 +130,11 @@
                 continue
             self.ignored_bytes = 0
             events.append((event, block))
-        self.buffer = buffer[start:]
+        rest = buffer[start:]
+        self.pending, self.pending_bytes = [rest] if rest else [], len(rest)
         return events
 
     def finish(self) -> None:
         """Raise `StepError` if the stream ended within an event."""
-        if self.buffer.strip():
+        if b"".join(self.pending).strip():
             raise StepError(self.step, self.peer, "stream ended within an event")
--- a/packages/ebonylb/tests/test_platform_adapter.py
+++ b/packages/ebonylb/tests/test_platform_adapter.py
@@ -1,5 +1,6 @@
 """Tests of the platform adapters: decoders, and where the wire format is known."""
 
+import contextlib
 import json
 import re
 from pathlib import Path
@@ -15,9 +16,9 @@
 from ebonylb.fleet import ServerStage
 from ebonylb.interfaces.row_store import RowKey, StoredRow
 from ebonylb.outcomes import StepError
-from ebonylb.platform import row_decoding
+from ebonylb.platform import event_stream, row_decoding
 from ebonylb.platform.batch_wire import decode_batch, encode_results
-from ebonylb.platform.event_stream import EventDecoder
+from ebonylb.platform.event_stream import EVENT_END, EventDecoder
 from ebonylb.platform.node_settings import read_node_settings
 from ebonylb.platform.servers import decode_load
 from ebonylb.routes import Customer, RouteKind, ScalingSpec
@@ -237,6 +238,29 @@
         assert decoded[0][0].weight_version == 2
         assert b"".join(block for _, block in decoded) == self.STREAM
 
+    @pytest.mark.parametrize("chunk", [b"x", b"\r", b"ab\n"])
+    def test_the_bytes_of_a_long_event_are_searched_once(self, chunk, monkeypatch):
+        """Guards against an event without an end that takes the time of others."""
+
+        class Pattern:
+            searched_bytes = 0
+
+            def search(self, buffer, start=0):
+                self.searched_bytes += len(buffer) - start
+                return EVENT_END.search(buffer, start)
+
+        pattern = Pattern()
+        monkeypatch.setattr(event_stream, "EVENT_END", pattern)
+        decoder = EventDecoder("step", "peer")
+        decoder.feed(b"id: 1\ndata: ")
+        chunks = 0
+        with contextlib.suppress(StepError):
+            for _ in range(2_000):
+                decoder.feed(chunk)
+                chunks += 1
+        # Each chunk may be searched with the end of the one before.
+        assert pattern.searched_bytes < 100 + 2 * (len(chunk) + 3) * (chunks + 1)
+
     def test_stream_that_ends_within_an_event_is_an_error(self):
         """Guards against a truncated stream that counts as complete."""
         decoder = EventDecoder("step", "peer")
