answers: what servers send counts when it arrives

Seen by callers: the process of an entry VM exceeded its memory limit, so that it would be ended with the requests of all others on it, while servers sent bodies without an end to 40 callers at once. Each was bounded at 32 MiB alone; together they were not.

Cause: only a stated length counted, before its bytes had come. A body in chunks, one without a length and the parts of an event counted as nothing.

Change: each answer that is being received is counted with what has arrived and with what its connection buffers. Beyond a sixteenth of the limit one at a time is read on, in the order of what is missing by the stated length; when all together take 0.4 of the limit, those without an end are given up. Slow callers keep their own quarter.

Why it works: the sum of what is held is bounded whatever servers state, and a sound answer beside those without an end waits for one turn of 0.5 s at most.

MAX_HELD_SHARE is 0.4 in place of 0.5, as an answer exists twice for a moment when it is whole.

--- a/packages/ebonylb/src/ebonylb/platform/servers.py
+++ b/packages/ebonylb/src/ebonylb/platform/servers.py
@@ -1,5 +1,7 @@
 """HTTP client of backend servers."""
 
+import contextlib
+import math
 from collections.abc import AsyncIterator, Mapping
 from dataclasses import dataclass
 from types import SimpleNamespace
@@ -26,7 +28,7 @@
     VersionOrder,
 )
 from ..outcomes import StepError
-from ..service.held_bytes import HeldBytes
+from ..service.held_bytes import HeldBytes, IncomingBody, NoRoomError
 from . import wire_names
 from .event_stream import EventDecoder
 from .numbers import parse_count, parse_rate
@@ -124,16 +126,29 @@
     return not named or response.content_type == EVENT_STREAM_TYPE
 
 
-async def read_body(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
-    """Read a complete body; raise `ValueError` if it is larger than `max_bytes`."""
+async def read_body(
+    response: aiohttp.ClientResponse,
+    max_bytes: int,
+    incoming: IncomingBody | None = None,
+) -> bytes:
+    """Read a complete body; raise `ValueError` if it is larger than `max_bytes`.
+
+    Parameters
+    ----------
+    incoming : IncomingBody or None
+        Counts what is received, and bounds it together with other bodies.
+    """
     if (response.content_length or 0) > max_bytes:
         raise ValueError(f"body of more than {max_bytes} bytes")
-    body = bytearray()
+    chunks, size = [], 0
     async for chunk in response.content.iter_any():
-        body += chunk
-        if len(body) > max_bytes:
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > max_bytes:
             raise ValueError(f"body of more than {max_bytes} bytes")
-    return bytes(body)
+        if incoming is not None:
+            await incoming.wait_to_read_on(size)
+    return b"".join(chunks)
 
 
 class HttpServerResponse(ServerResponse):
@@ -147,15 +162,20 @@
         self.held = held
         self.head = decode_head(response)
 
+    def receive(
+        self, stated_bytes: float
+    ) -> contextlib.AbstractContextManager[IncomingBody | None]:
+        """Count what is received; None if it is not bounded."""
+        if self.held is None:
+            return contextlib.nullcontext()
+        return self.held.receive(self.close, stated_bytes)
+
     async def body(self) -> bytes:
-        """Read the complete body, once it may be held."""
+        """Read the complete body; wait while too much is held."""
+        length = self.response.content_length
         try:
-            if self.held is None:
-                return await read_body(self.response, MAX_BODY_BYTES)
-            size = self.response.content_length or 0
-            await self.held.wait_for_answer(size)
-            with self.held.hold(size):
-                return await read_body(self.response, MAX_BODY_BYTES)
+            with self.receive(math.inf if length is None else length) as incoming:
+                return await read_body(self.response, MAX_BODY_BYTES, incoming)
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise StepError("server.body", self.peer, describe_error(error)) from error
 
@@ -166,10 +186,13 @@
             raise StepError("server.stream", self.peer, cause)
         decoder = EventDecoder("server.stream", self.peer)
         try:
-            async for chunk in self.response.content.iter_any():
-                for event in decoder.feed(chunk):
-                    yield event
-        except (aiohttp.ClientError, OSError) as error:
+            with self.receive(math.inf) as incoming:
+                async for chunk in self.response.content.iter_any():
+                    for event in decoder.feed(chunk):
+                        yield event
+                    if incoming is not None:
+                        await incoming.wait_to_read_on(decoder.pending_bytes)
+        except (aiohttp.ClientError, OSError, NoRoomError) as error:
             raise StepError(
                 "server.stream", self.peer, describe_error(error)
             ) from error
--- a/packages/ebonylb/src/ebonylb/service/held_bytes.py
+++ b/packages/ebonylb/src/ebonylb/service/held_bytes.py
@@ -10,18 +10,28 @@
 
 logger = logging.getLogger(__name__)
 
-# Part of the memory limit that may be held before new uploads and large answers wait,
-# and before answers that a server has ready are not read any more.
+# Part of the memory limit that may be held for slow callers before new uploads wait.
 HELD_SHARE = 0.25
-MAX_HELD_SHARE = 0.5
+# Part of it that may be held together with the answers that are received, before these
+# wait, and that these may take alone, before some are given up. An answer exists twice
+# for a moment when it is whole.
+MAX_HELD_SHARE = 0.4
 # Bodies below this size are not counted: a write buffer takes them without a wait.
 LARGE_BYTES = 65_536
 # Events of a stream that are read on for a slow caller. A second of a stream has a few
 # kilobytes, and a server cuts off a response that stays unread for some seconds.
 STREAM_BYTES = 1_048_576
-# Time that an upload waits for room, and after which an answer is read although the
-# first limit is exceeded: less than the seconds after which servers cut it off.
+# Part of it that answers may take while they are received, before one at a time is
+# read on.
+RECEIVED_SHARE = 0.0625
+# Memory of the connection of an answer that waits, beyond what was read: what the event
+# loop reads at once, and as much in the reader of the body.
+RECEIVE_BUFFER_BYTES = 524_288
+# Time that an upload waits for room.
 MAX_WAIT_MS = 1_500.0
+# Time for which one answer is read on alone while others wait, which have to have their
+# turn before their servers cut them off, after seconds.
+MAX_TURN_MS = 500.0
 CHECK_INTERVAL_MS = 50.0
 SWEEP_INTERVAL_MS = 250.0
 RETRY_AFTER_MS = 500
@@ -84,13 +94,102 @@
         self.set_depth(is_deep=False)
 
 
+class NoRoomError(ValueError):
+    """An answer was given up so that others have room."""
+
+
+class IncomingBody:
+    """What has been received of an answer and is not passed on yet.
+
+    Parameters
+    ----------
+    held : HeldBytes
+        Counts it.
+    close : callable
+        Closes the connection on which the rest would come.
+    stated_bytes : float
+        Length that the answer states; infinite if it states none.
+
+    Attributes
+    ----------
+    read_bytes : int
+        Number of bytes that were read and are held.
+    size : int
+        Number of bytes that are counted, with those that were not read yet.
+    began_ms : float
+        Monotonic time at which it began.
+    is_waiting : bool
+        Whether it may not be read on now.
+    is_given_up : bool
+        Whether the rest is not wanted any more.
+    """
+
+    def __init__(
+        self, held: "HeldBytes", close: Callable[[], None], stated_bytes: float
+    ) -> None:
+        self.held = held
+        self.close = close
+        self.stated_bytes = stated_bytes
+        self.read_bytes = self.size = 0
+        self.began_ms = held.clock.monotonic_ms()
+        self.is_waiting = self.is_given_up = False
+
+    def count(self, size: int) -> None:
+        """Count what was read and is held; a small number of bytes is not counted."""
+        counted = size + RECEIVE_BUFFER_BYTES if size >= LARGE_BYTES else 0
+        self.held.received += counted - self.size
+        self.read_bytes, self.size = size, counted
+
+    @property
+    def missing_bytes(self) -> float:
+        """Number of bytes that should still come; infinite if it is not stated."""
+        return self.stated_bytes - self.read_bytes
+
+    async def wait_to_read_on(self, size: int) -> None:
+        """Count what was read and is held, and wait until more may be read.
+
+        Raises
+        ------
+        NoRoomError
+            The answer was given up.
+        """
+        self.count(size)
+        if not self.size or self.held.has_room_for_answers():
+            return
+        self.held.make_room()
+        self.is_waiting = True
+        try:
+            if not self.ends_wait():
+                self.held.metrics.incr("held.waits")
+            while not self.ends_wait():
+                await self.held.wait_for_release()
+        finally:
+            self.is_waiting = False
+        if self.is_given_up:
+            raise NoRoomError("no room for the rest of the answer")
+
+    def ends_wait(self) -> bool:
+        """Return whether the wait ends: with more to read, or with an error."""
+        return self.is_given_up or self.held.may_read_on(self)
+
+    def give_up(self) -> None:
+        """End the wait for the rest."""
+        self.is_given_up = True
+        self.close()
+
+
 class HeldBytes:
     """Counts and bounds what is held for connections that are slow.
 
     Each stream holds at most `STREAM_BYTES` in the write buffer of its caller, and each
     plain answer its body. When the sum exceeds its limit, streams hold no more than the
-    usual buffer, so that their servers have to wait, and large bodies wait before they
-    are read. A body that was read is never dropped.
+    usual buffer, so that their servers have to wait. A body that was read is never
+    dropped.
+
+    Answers that are being received count from the arrival of their bytes on, and have
+    room of their own. When they exceed it, one at a time is read on, so that one
+    without an end does not take the room of others. Which one comes first depends on
+    the length that it states, but what counts is what has arrived.
 
     Parameters
     ----------
@@ -105,8 +204,15 @@
 
     Attributes
     ----------
-    bodies, buffered : int
-        Bytes of large bodies, and of write buffers of watched connections.
+    bodies, received, buffered : int
+        Bytes of large bodies that are whole, of large answers that are received, and of
+        write buffers of watched connections.
+    incoming : set of IncomingBody
+        Answers that are being received.
+    turn : IncomingBody or None
+        Answer that is read on although all together exceed their room.
+    turn_end_ms : float
+        Monotonic time at which another one may have the turn.
     """
 
     def __init__(
@@ -120,18 +226,23 @@
         self.metrics = metrics
         self.limit_bytes = memory_bytes * HELD_SHARE or math.inf
         self.max_bytes = memory_bytes * MAX_HELD_SHARE or math.inf
+        self.received_limit_bytes = memory_bytes * RECEIVED_SHARE or math.inf
         self.idle_timeout_ms = idle_timeout_ms
-        self.bodies = self.buffered = 0
+        self.bodies = self.received = self.buffered = 0
+        self.released = asyncio.Event()
+        self.incoming: set[IncomingBody] = set()
+        self.turn: IncomingBody | None = None
+        self.turn_end_ms = -math.inf
         self.connections: set[WatchedConnection] = set()
 
     @property
     def total(self) -> int:
         """Number of bytes that are held."""
-        return self.bodies + self.buffered
+        return self.bodies + self.received + self.buffered
 
     def has_room(self, size: int) -> bool:
-        """Return whether more bytes may be held."""
-        return self.total + size <= self.limit_bytes
+        """Return whether more bytes may be held for slow callers."""
+        return self.bodies + self.buffered + size <= self.limit_bytes
 
     async def wait_for_upload(self, size: int) -> bool:
         """Wait until a body of a caller may be read; return False if it may not."""
@@ -146,20 +257,73 @@
             await self.clock.sleep_ms(CHECK_INTERVAL_MS)
         return True
 
-    async def wait_for_answer(self, size: int) -> None:
-        """Wait until a body of a server may be read.
-
-        After a while it is read unless too much is held: the request has run.
+    @contextlib.contextmanager
+    def receive(
+        self, close: Callable[[], None], stated_bytes: float = math.inf
+    ) -> Iterator[IncomingBody]:
+        """Count an answer while it is received; see `IncomingBody`."""
+        body = IncomingBody(self, close, stated_bytes)
+        self.incoming.add(body)
+        try:
+            yield body
+        finally:
+            self.incoming.discard(body)
+            body.count(0)
+            if self.turn is body:
+                self.turn = None
+            self.released.set()
+            self.released = asyncio.Event()
+
+    async def wait_for_release(self) -> None:
+        """Wait until an answer is not received any more, for a short time at most."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CHECK_INTERVAL_MS / 1000):
+                await self.released.wait()
+
+    def has_room_for_answers(self) -> bool:
+        """Return whether all answers may be read on."""
+        return self.has_room(0) and self.received <= self.received_limit_bytes
+
+    def may_read_on(self, body: IncomingBody) -> bool:
+        """Return whether more of an answer may be read."""
+        if self.has_room_for_answers():
+            return True
+        now_ms = self.clock.monotonic_ms()
+        if self.turn is None or now_ms >= self.turn_end_ms:
+            waiting = (
+                other
+                for other in self.incoming
+                if other.is_waiting and not other.is_given_up
+            )
+            self.turn = min(
+                waiting, key=lambda other: (other.missing_bytes, other.read_bytes)
+            )
+            self.turn_end_ms = now_ms + MAX_TURN_MS
+        return self.turn is body and self.total <= self.max_bytes
+
+    def make_room(self) -> None:
+        """Give answers up while all together take too much.
+
+        Those with most to come are first, then those that take much and for long. The
+        one that is read on comes last.
         """
-        if size < LARGE_BYTES or self.has_room(size):
+        wanted = [body for body in self.incoming if body.size and not body.is_given_up]
+        size = sum(body.size for body in wanted)
+        if size <= self.max_bytes:
             return
-        self.metrics.incr("held.waits")
-        end_ms = self.clock.monotonic_ms() + MAX_WAIT_MS
-        while not self.has_room(size):
-            is_late = self.clock.monotonic_ms() >= end_ms
-            if is_late and self.total + size <= self.max_bytes:
-                return
-            await self.clock.sleep_ms(CHECK_INTERVAL_MS)
+        now_ms = self.clock.monotonic_ms()
+        wanted.sort(
+            key=lambda body: (
+                body is not self.turn,
+                body.missing_bytes,
+                body.size * (now_ms - body.began_ms),
+            )
+        )
+        while wanted and size > self.max_bytes:
+            body = wanted.pop()
+            size -= body.size
+            self.metrics.incr("held.given_up")
+            body.give_up()
 
     @contextlib.contextmanager
     def hold(self, size: int) -> Iterator[None]:
@@ -212,6 +376,6 @@
     def gauges(self) -> dict[str, float]:
         """Return what is held."""
         return {
-            "held.body_bytes": float(self.bodies),
+            "held.body_bytes": float(self.bodies + self.received),
             "held.buffered_bytes": float(self.buffered),
         }
