responses: more than 100 interim responses make the response none

Seen by callers: while servers sent interim responses without an end to 40 callers at once, a sound answer of 1 MB beside them had no answer before its deadline (504).

Cause: only their bytes were limited, to 64 KiB a response, which are 2,400 of the shortest. Each one passes through the parser, a queue and the waiting request.

Change: HeadCheck counts the interim responses of one request.

Why it works: what one request may take of the event loop's time is 24 times smaller; servers send a few for each request, 100 are accepted.

--- a/packages/ebonylb/src/ebonylb/adapters/response_heads.py
+++ b/packages/ebonylb/src/ebonylb/adapters/response_heads.py
@@ -23,6 +23,8 @@
 FIELD_LINE = re.compile(rb"(%b):(%b)\r?\n" % (TOKEN, TEXT))
 CODING_NAME = b"transfer-encoding"
 FIRST_FINAL_STATUS = 200
+# Servers send a few for each request; each one costs more than its bytes.
+MAX_INTERIM_RESPONSES = 100
 FINAL_STATUSES = range(FIRST_FINAL_STATUS, 600)
 
 
@@ -65,6 +67,8 @@
         Whether the head that is being received may still state that its body comes in
         chunks, as it may once. Nobody asks servers for another transfer coding, and
         version 1.0 of the protocol has none.
+    interim_responses : int
+        Number of interim responses so far.
     is_over : bool
         Whether the head of the final response is complete.
     """
@@ -73,6 +77,7 @@
         self.incomplete_line = b""
         self.status: int | None = None
         self.may_be_chunked = False
+        self.interim_responses = 0
         self.is_over = False
 
     def feed(self, data: bytes) -> None:
@@ -109,7 +114,11 @@
         if match is None:
             raise MalformedHeadError("status line", line)
         self.may_be_chunked = not line.startswith(FIRST_VERSION)
-        return int(match[1])
+        status = int(match[1])
+        self.interim_responses += status < FIRST_FINAL_STATUS
+        if self.interim_responses > MAX_INTERIM_RESPONSES:
+            raise MalformedHeadError("sequence of interim responses", line)
+        return status
 
     def check_field(self, line: bytes) -> None:
         """Check the line of a field."""
--- a/packages/ebonylb/tests/test_response_heads.py
+++ b/packages/ebonylb/tests/test_response_heads.py
@@ -381,6 +381,18 @@
         assert check.is_over
         assert not check.incomplete_line
 
+    @pytest.mark.parametrize("count", [100, 101])
+    def test_interim_responses_are_limited(self, count):
+        """Guards against a sequence that takes the time of others."""
+        check = HeadCheck()
+        check.feed(b"HTTP/1.1 102 Processing\r\n\r\n" * min(count, 100))
+        if count > 100:
+            with pytest.raises(MalformedHeadError):
+                check.feed(b"HTTP/1.1 102 Processing\r\n\r\n")
+        else:
+            check.feed(b"HTTP/1.1 200 OK\r\n\r\n")
+            assert check.is_over
+
     @given(st.lists(st.integers(0, 200), max_size=12))
     def test_an_error_does_not_wait_for_the_rest_of_the_head(self, cuts):
         data = b"HTTP/1.1 200 OK\r\nX-A: 1\r\nX-B : 2\r\n"
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/endless_answers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/endless_answers.py
@@ -52,6 +52,7 @@
         "{}Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", "x" * 65_536
     ),
     "head": EndlessAnswer("{}", "X-Part: 1\r\n" * 1_000),
+    "interim": EndlessAnswer("", "HTTP/1.1 102 Processing\r\n\r\n" * 1_000),
 }
 
 
