streams: an entry VM that is out of step joins no two versions

Seen by callers: a stream that had begun on servers of a new software version, and was taken up at an entry VM that had been cut off from the store for a few seconds, went on at a server of the old version.

Cause: when the store could not be read, the take-up was decided by what this entry VM knew: one version, settled. That says nothing of versions that joined since. After a cut of over a minute the first take-up read the store, found no row of the stream, and used a row of the service that was as old as the cut.

Evidence: on the code before, seven cases fail: test_an_entry_vm_out_of_step_joins_no_versions (store down, silent, slow; with and without `Resumes`) and test_the_first_stream_after_a_long_cut_is_not_joined.

Change: without a row of the stream, the rows of the services are read in the same go. Without an answer of the store the stream is refused at once, unknown_software_version, not run, unless it is in this entry VM's memory. The reads have 600 ms in place of 300, since there are two.

Why it works: a stream on another version has a row before its first event is sent on, and the service's row names the version of streams without one; both are read after the caller asked.

What it costs: while the store is away, streams are not taken up elsewhere, also where only one version serves; the refusal says so. A take-up of a stream without a row costs two reads.

--- a/packages/ebonylb/src/ebonylb/forwarding/stream_origins.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/stream_origins.py
@@ -30,7 +30,9 @@
 # The first event of a stream waits no longer for the store. Most first events have some
 # hundred milliseconds.
 WRITE_TIMEOUT_MS = 150.0
-READ_TIMEOUT_MS = 300.0
+# Two reads of a store that is slowed down sixtyfold take half a second. The first event
+# of a stream that is taken up has the rest of the two seconds that callers wait.
+READ_TIMEOUT_MS = 600.0
 # After a failed write, new streams begin on the version that needs none for this time.
 RETRY_MS = 1_000.0
 # A server of the missing version may be back, or the store, after this time.
@@ -101,8 +103,6 @@
         if not request.resume_after:
             return Ok(self.version_for_new_stream(service))
         version = await self.find(request.resumes, service)
-        if version is None and not self.history.needs_record(service):
-            version = self.history.unrecorded_version(service)
         if version is not None:
             return Ok(version)
         return Err(
@@ -218,28 +218,45 @@
             self.known.popitem(last=False)
 
     async def find(self, stream_id: str, service: str) -> str | None:
-        """Return the version on which a stream began; None if it cannot be known."""
+        """Return the version on which a stream began; None if it cannot be known.
+
+        Parameters
+        ----------
+        stream_id : str
+            Empty if the caller does not name the stream.
+        """
         if stream_id in self.known:
             return self.known[stream_id]
         if stream_id in self.open_streams:
             return self.open_streams[stream_id][1]
-        if not stream_id:
-            return None
-        key = row_key(stream_id)
         try:
             async with asyncio.timeout(READ_TIMEOUT_MS / 1000):
-                page = await self.store.read(
-                    key.table, key.part, key.key, next_key(key.key)
-                )
+                return await self.read(stream_id, service)
         except TimeoutError:
             return None
-        if isinstance(page, Err):
+
+    async def read(self, stream_id: str, service: str) -> str | None:
+        """Return the version on which a stream began, by the store as it is now.
+
+        What this entry VM knows without it may be out of step: another version may have
+        joined, with streams that are stored.
+        """
+        if stream_id:
+            key = row_key(stream_id)
+            page = await self.store.read(
+                key.table, key.part, key.key, next_key(key.key)
+            )
+            if isinstance(page, Err):
+                return None
+            for row in page.ok_value.rows:
+                if row.row_key.key == key.key:
+                    version = row.value.decode("utf-8", "replace")
+                    self.remember(stream_id, version)
+                    return version
+        if not await self.history.read():
+            return None
+        if not stream_id and self.history.needs_record(service):
             return None
-        for row in page.ok_value.rows:
-            if row.row_key.key == key.key:
-                version = row.value.decode("utf-8", "replace")
-                self.remember(stream_id, version)
-                return version
         return self.history.unrecorded_version(service)
 
     async def delete_expired(self) -> None:
--- a/packages/ebonylb/tests/test_software_versions.py
+++ b/packages/ebonylb/tests/test_software_versions.py
@@ -147,7 +147,8 @@
 class Caller:
     """Caller that reads one stream and takes it up at other entry VMs."""
 
-    def __init__(self, world, request_id):
+    def __init__(self, world, request_id, names_stream=True):
+        self.names_stream = names_stream
         self.world = world
         self.request_id = request_id
         self.tries = 0
@@ -172,7 +173,7 @@
             self.world.clock.monotonic_ms(),
             8_000.0,
             resume_after=len(self.events) or None,
-            resumes=self.request_id if self.events else "",
+            resumes=self.request_id if self.events and self.names_stream else "",
         )
         response = await vm.forwarder.serve(request, vm.forwarder.find_route(request))
         chunks = getattr(response, "chunks", None)
@@ -392,6 +393,86 @@
 
         run_virtual(scenario())
 
+    # Guards against streams that an entry VM joins by a view that is out of step.
+    @pytest.mark.parametrize("names_stream", [True, False])
+    @pytest.mark.parametrize(
+        "fault", [("down", True), ("silent", True), ("delay_ms", 700.0)], ids=str
+    )
+    def test_an_entry_vm_out_of_step_joins_no_versions(self, fault, names_stream):
+        """It is cut off before servers of a new version join, and knows only the old.
+
+        Nor does it go on with a stream of the version that it knows: it cannot tell
+        one from the other.
+        """
+
+        async def scenario():
+            world = make_world(plain_versions=["v1", "v1"])
+            vms = [world.start(name) for name in ("a", "b")]
+            await world.clock.sleep_ms(2_000)
+            name, sound = fault[0], getattr(vms[1].store.faults, fault[0])
+            setattr(vms[1].store.faults, *fault)
+            for number in (2, 3, 4):
+                world.add_server(f"p{number}", "desk", 6, "north")
+                world.port.servers[f"p{number}"].software_version = "v2"
+            vms[0].refresh()
+            await world.clock.sleep_ms(2_000)
+            callers = [Caller(world, f"q{n}", names_stream) for n in range(12)]
+            await asyncio.gather(*(caller.read(vms[0], 10) for caller in callers))
+            assert len({*versions_of(e for c in callers for e in c.events)}) == 2
+            for caller in callers:
+                response = await caller.read(vms[1])
+                assert len(versions_of(caller.events)) == 1
+                assert response.refusal.reason == "unknown_software_version"
+                assert response.refusal.outcome is Outcome.NOT_RUN
+            setattr(vms[1].store.faults, name, sound)
+            vms[1].refresh()
+            await world.clock.sleep_ms(2_000)
+            for caller in callers:
+                await caller.read(vms[1])
+                assert len(versions_of(caller.events)) == 1
+                assert len(caller.events) == (EVENTS if names_stream else 10)
+
+        run_virtual(scenario())
+
+    # Guards against joins by a view that has been out of step for long.
+    def test_the_first_stream_after_a_long_cut_is_not_joined(self):
+        async def scenario():
+            world = make_world(plain_versions=["v1", "v1"])
+            vms = [world.start(name) for name in ("a", "b")]
+            await world.clock.sleep_ms(2_000)
+            vms[1].store.faults.down = True
+            for name in ("p2", "p3"):
+                world.add_server(name, "desk", 6, "north")
+                world.port.servers[name].software_version = "v2"
+            for name in ("p0", "p1"):
+                world.unlisted.add(name)
+            vms[0].refresh()
+            await world.clock.sleep_ms(STREAM_LIFETIME_MS + 2_000)
+            caller = Caller(world, "q")
+            await caller.read(vms[0], 10)
+            assert versions_of(caller.events) == {"v2"}
+            assert not [key for key in world.data.rows if key.table == TABLE]
+            vms[1].store.faults.down = False
+            response = await caller.read(vms[1])
+            assert versions_of(caller.events) == {"v2"}
+            assert response.refusal.reason == "other_software_version"
+
+        run_virtual(scenario())
+
+    def test_a_stream_that_its_caller_does_not_name_goes_on(self):
+        """Guards against refusals where a service has had one version only."""
+
+        async def scenario():
+            world = make_world(plain_versions=["v1", "v1"])
+            vms = [world.start(name) for name in ("a", "b")]
+            await world.clock.sleep_ms(2_000)
+            caller = Caller(world, "q", names_stream=False)
+            await caller.read(vms[0], 10)
+            await caller.read(vms[1])
+            assert len(caller.events) == EVENTS
+
+        run_virtual(scenario())
+
     def test_an_unknown_stream_is_refused_while_the_store_is_down(self):
         async def scenario():
             world = make_world(plain_versions=["v1", "v2"])
