responses: bodies of the store and of plain services end at 32 MiB

A store or a service of the own protocol that sends a body without an end takes the memory of the entry VM.

Cause: their clients read the whole body, bounded by the timeout of the call only: 1.5 s for the store, 60 s for a service.

Change: one function reads bodies for all adapters, with the limit that server responses had.

Why it works: no response is larger than a request may be; a page of the store has 1 MB.

--- a/packages/ebonylb/src/ebonylb/adapters/http.py
+++ b/packages/ebonylb/src/ebonylb/adapters/http.py
@@ -1,5 +1,6 @@
 """Base class of the HTTP adapters."""
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -14,6 +15,9 @@
 # Errors raised before a connection exists, so that no byte of the request was sent.
 NOT_SENT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
+# A response with a larger body is no response. The limit is that of callers' requests.
+MAX_BODY_BYTES = 33_554_432
+
 # Statuses with which the platform states that it did not run the request.
 NOT_RUN_STATUSES = frozenset({429, 503})
 
@@ -26,6 +30,31 @@
     body: bytes
 
 
+async def read_body(
+    response: aiohttp.ClientResponse,
+    max_bytes: int = MAX_BODY_BYTES,
+    wait_to_read_on: Callable[[int], Awaitable[None]] | None = None,
+) -> bytes:
+    """Read a complete body; raise `ValueError` if it is larger than `max_bytes`.
+
+    Parameters
+    ----------
+    wait_to_read_on : callable or None
+        Called with the number of bytes read so far, before more are read.
+    """
+    if (response.content_length or 0) > max_bytes:
+        raise ValueError(f"body of more than {max_bytes} bytes")
+    chunks, size = [], 0
+    async for chunk in response.content.iter_any():
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > max_bytes:
+            raise ValueError(f"body of more than {max_bytes} bytes")
+        if wait_to_read_on is not None:
+            await wait_to_read_on(size)
+    return b"".join(chunks)
+
+
 class HttpEndpoint:
     """Base class of the HTTP adapters.
 
@@ -78,8 +107,8 @@
                 timeout=self.build_timeout(timeout_ms or self.timeout_ms),
                 **options,
             ) as response:
-                return Ok(HttpResponse(response.status, await response.read()))
-        except (aiohttp.ClientError, OSError) as error:
+                return Ok(HttpResponse(response.status, await read_body(response)))
+        except (aiohttp.ClientError, OSError, ValueError) as error:
             return Err(self.make_transport_error(step, error))
 
     def make_transport_error(self, step: str, error: Exception) -> StepError:
--- a/packages/ebonylb/src/ebonylb/adapters/model_engine.py
+++ b/packages/ebonylb/src/ebonylb/adapters/model_engine.py
@@ -15,7 +15,13 @@
     ModelEngine,
 )
 from ..outcomes import StepError
-from .http import NOT_SENT_ERRORS, HttpEndpoint, HttpResponse, describe_error
+from .http import (
+    NOT_SENT_ERRORS,
+    HttpEndpoint,
+    HttpResponse,
+    describe_error,
+    read_body,
+)
 
 # Longer than for other requests, because an order waits for the transfer of weights.
 LOAD_TIMEOUT_MS = 60_000
@@ -72,7 +78,7 @@
                 timeout=timeout,
             ) as response:
                 if response.status != 200:
-                    complete = HttpResponse(response.status, await response.read())
+                    complete = HttpResponse(response.status, await read_body(response))
                     raise self.make_response_error(complete)
                 async with aclosing(
                     self.read_lines(request.request_id, response)
--- a/packages/ebonylb/src/ebonylb/platform/servers.py
+++ b/packages/ebonylb/src/ebonylb/platform/servers.py
@@ -13,7 +13,12 @@
 from yarl import URL
 
 from ..adapters.connections import accepts_connection
-from ..adapters.http import NOT_SENT_ERRORS, describe_error
+from ..adapters.http import (
+    MAX_BODY_BYTES,
+    NOT_SENT_ERRORS,
+    describe_error,
+    read_body,
+)
 from ..interfaces.server_client import (
     ModelVersion,
     OrderResponse,
@@ -37,9 +42,7 @@
 # A reachable server accepts a connection within about 30 ms, also in other regions.
 CONNECT_TIMEOUT_S = 0.6
 CONTROL_TIMEOUT_S = 1.0
-# A server's response of more bytes is no response. The first limit is that of callers'
-# requests; the second one is for reports and responses to orders.
-MAX_BODY_BYTES = 33_554_432
+# A report or a response to an order of more bytes is no response.
 MAX_CONTROL_BODY_BYTES = 1_048_576
 EVENT_STREAM_TYPE = "text/event-stream"
 NORMAL_SLOWDOWN_PERCENT = 100  # load header of a server on an undisturbed machine
@@ -126,31 +129,6 @@
     return not named or response.content_type == EVENT_STREAM_TYPE
 
 
-async def read_body(
-    response: aiohttp.ClientResponse,
-    max_bytes: int,
-    incoming: IncomingBody | None = None,
-) -> bytes:
-    """Read a complete body; raise `ValueError` if it is larger than `max_bytes`.
-
-    Parameters
-    ----------
-    incoming : IncomingBody or None
-        Counts what is received, and bounds it together with other bodies.
-    """
-    if (response.content_length or 0) > max_bytes:
-        raise ValueError(f"body of more than {max_bytes} bytes")
-    chunks, size = [], 0
-    async for chunk in response.content.iter_any():
-        chunks.append(chunk)
-        size += len(chunk)
-        if size > max_bytes:
-            raise ValueError(f"body of more than {max_bytes} bytes")
-        if incoming is not None:
-            await incoming.wait_to_read_on(size)
-    return b"".join(chunks)
-
-
 class HttpServerResponse(ServerResponse):
     """Response that is read from an open connection."""
 
@@ -175,7 +153,8 @@
         length = self.response.content_length
         try:
             with self.receive(math.inf if length is None else length) as incoming:
-                return await read_body(self.response, MAX_BODY_BYTES, incoming)
+                wait = incoming.wait_to_read_on if incoming else None
+                return await read_body(self.response, MAX_BODY_BYTES, wait)
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise StepError("server.body", self.peer, describe_error(error)) from error
 
--- a/packages/ebonylb/tests/test_connections.py
+++ b/packages/ebonylb/tests/test_connections.py
@@ -12,7 +12,9 @@
 import pytest
 from result import Err, Ok
 
+from ebonylb.adapters import HttpPlainService
 from ebonylb.adapters.connections import StrictConnector
+from ebonylb.interfaces import CallRequest
 from ebonylb.interfaces.server_client import (
     ServerAddress,
     ServerRequest,
@@ -578,6 +580,25 @@
 
         run(scenario())
 
+    # Guards against answers of the store and of plain services that take all memory.
+    @pytest.mark.parametrize("reader", ["store", "service"])
+    def test_other_readers_end_too(self, reader):
+        async def scenario():
+            handle, sent = self.flooding(answer(None, length=False), b"[" * 100_000)
+            async with serving(handle) as (client, address), asyncio.timeout(20):
+                if reader == "store":
+                    store = PlatformRowStore(client.session, address.address)
+                    assert isinstance(await store.read_page("t"), Err)
+                else:
+                    url = f"http://{address.address}"
+                    service = HttpPlainService(client.session, url, 10_000)
+                    with pytest.raises(StepError) as raised:
+                        await service.call(CallRequest("q", b"x", "text/plain"))
+                    assert raised.value.may_have_run
+                assert sum(sent) < 60_000_000
+
+        run(scenario())
+
     def test_a_large_answer_is_whole(self):
         async def scenario():
             body = b"x" * 20_000_000
