relay: answers that are passed on count at both entry VMs

An answer that one entry VM passes on to another one counted toward the memory limit of neither: up to 32 MiB for each request, at the sender three times while it was put together.

Cause: the bound was added to the connections to servers and callers only.

Evidence: the code before has no bound to pass to these two classes; test_what_is_passed_on_counts_when_it_arrives states what is counted now.

Change: a relayed answer is received under the bound of server responses, and sent piece by piece from its one copy, which counts until it is taken.

Why it works: it is the same count, with the same order and the same end for answers that leave no room.

--- a/packages/ebonylb/src/ebonylb/adapters/relay_http.py
+++ b/packages/ebonylb/src/ebonylb/adapters/relay_http.py
@@ -11,6 +11,8 @@
 """
 
 import asyncio
+import contextlib
+import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import replace
 from typing import TypeVar
@@ -29,6 +31,7 @@
 )
 from ..outcomes import StepError
 from ..relay.receiver import RelayedAnswer
+from ..service.held_bytes import LARGE_BYTES, HeldBytes, IncomingBody
 from .connections import accepts_connection
 from .http import NOT_SENT_ERRORS, describe_error
 from .response_heads import check_decoded_head
@@ -100,32 +103,44 @@
         peer: str,
         head: ResponseHead,
         first_event: int,
+        held: HeldBytes | None,
     ) -> None:
         self.response = response
         self.peer = peer
         self.head = head
         self.first_event = first_event
+        self.held = held
 
-    async def read_frame(self) -> bytes:
+    async def read_frame(self, incoming: IncomingBody | None) -> bytes:
         """Return the next frame; raise `StepError` if the response broke off."""
+        wait = incoming.wait_to_read_on if incoming else None
         try:
-            return await read_frame(self.response, MAX_FRAME_BYTES)
+            return await read_frame(self.response, MAX_FRAME_BYTES, wait)
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise StepError("relay.read", self.peer, describe_error(error)) from error
 
+    def receive(self) -> contextlib.AbstractContextManager[IncomingBody | None]:
+        """Count what is received; None if it is not bounded."""
+        if self.held is None:
+            return contextlib.nullcontext()
+        length = self.response.content_length
+        return self.held.receive(self.close, math.inf if length is None else length)
+
     async def body(self) -> bytes:
-        """Read the complete body."""
-        data = bytearray()
-        while frame := await self.read_frame():
-            data += frame
-        return bytes(data)
+        """Read the complete body, which is one frame or none."""
+        with self.receive() as incoming:
+            data = await self.read_frame(incoming)
+            if data and await self.read_frame(None):
+                raise StepError("relay.read", self.peer, "body of several frames")
+            return data
 
     async def raw_events(self) -> AsyncIterator[tuple[int, bytes]]:
         """Iterate over complete events as (number, bytes as sent)."""
         number = self.first_event
-        while block := await self.read_frame():
-            yield number, block
-            number += 1
+        with self.receive() as incoming:
+            while block := await self.read_frame(incoming):
+                yield number, block
+                number += 1
 
     def events(self) -> AsyncIterator[StreamEvent]:
         """Items of batches are not relayed, so that nobody decodes these events."""
@@ -137,15 +152,34 @@
             self.response.close()
 
 
-async def read_frame(response: aiohttp.ClientResponse, max_bytes: int) -> bytes:
-    """Return one frame; raise `ValueError` if it is too large or incomplete."""
+async def read_frame(
+    response: aiohttp.ClientResponse,
+    max_bytes: int,
+    wait_to_read_on: Callable[[int], Awaitable[None]] | None = None,
+) -> bytes:
+    """Return one frame; raise `ValueError` if it is too large or incomplete.
+
+    Parameters
+    ----------
+    wait_to_read_on : callable or None
+        Called with the number of bytes read so far, before more are read.
+    """
     try:
         length = int.from_bytes(await response.content.readexactly(LENGTH_BYTES), "big")
-        if length > max_bytes:
-            raise ValueError(f"frame of {length} bytes")
-        return await response.content.readexactly(length)
     except asyncio.IncompleteReadError as error:
         raise ValueError("the response broke off") from error
+    if length > max_bytes:
+        raise ValueError(f"frame of {length} bytes")
+    chunks, size = [], 0
+    while size < length:
+        chunk = await response.content.read(length - size)
+        if not chunk:
+            raise ValueError("the response broke off")
+        chunks.append(chunk)
+        size += len(chunk)
+        if wait_to_read_on is not None:
+            await wait_to_read_on(size)
+    return b"".join(chunks)
 
 
 class HttpRelayClient(RelayClient):
@@ -155,10 +189,15 @@
     ----------
     session : aiohttp.ClientSession
         Owned by the caller; must be traced like that of `HttpServerClient`.
+    held : HeldBytes or None
+        Bounds the bodies that are held; None for no bound.
     """
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self, session: aiohttp.ClientSession, held: HeldBytes | None = None
+    ) -> None:
         self.session = session
+        self.held = held
 
     async def open(
         self, entry_vm: ServerAddress, request: RelayedRequest
@@ -179,7 +218,7 @@
             cause = describe_error(error)
             return Err(StepError("relay.open", entry_vm.name, cause, may_have_run))
         first_event = (request.resume_after or 0) + 1
-        return Ok(RelayResponse(response, entry_vm.name, head, first_event))
+        return Ok(RelayResponse(response, entry_vm.name, head, first_event, self.held))
 
     async def is_reachable(self, entry_vm: ServerAddress) -> bool:
         """Return whether an entry VM accepts a connection."""
@@ -209,12 +248,17 @@
     ----------
     serve : callable
         Runs a request and returns its answer.
+    held : HeldBytes or None
+        Bounds the bodies that are held; None for no bound.
     """
 
     def __init__(
-        self, serve: Callable[[RelayedRequest], Awaitable[RelayedAnswer]]
+        self,
+        serve: Callable[[RelayedRequest], Awaitable[RelayedAnswer]],
+        held: HeldBytes | None = None,
     ) -> None:
         self.serve = serve
+        self.held = held
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Respond to one request."""
@@ -227,10 +271,27 @@
         answer = await self.serve(change_values(decoded, unescape))
         if answer.chunks is not None:
             return await self.send_stream(request, answer)
-        frames = [encode(answer.head), b""]
-        if answer.body:
-            frames.insert(1, answer.body)
-        return web.Response(body=b"".join(make_frame(frame) for frame in frames))
+        return await self.send_answer(request, answer)
+
+    async def send_answer(
+        self, request: web.BaseRequest, answer: RelayedAnswer
+    ) -> web.StreamResponse:
+        """Send a plain answer; a large body is held once, until it is taken."""
+        head, end = make_frame(encode(answer.head)), make_frame(b"")
+        size = len(answer.body).to_bytes(LENGTH_BYTES, "big") if answer.body else b""
+        if len(answer.body) < LARGE_BYTES:
+            return web.Response(body=b"".join((head, size, answer.body, end)))
+        response = web.StreamResponse()
+        response.content_length = len(head + size + end) + len(answer.body)
+        body = memoryview(answer.body)
+        with self.held.hold(len(body)) if self.held else contextlib.nullcontext():
+            await response.prepare(request)
+            await response.write(head + size)
+            for start in range(0, len(body), LARGE_BYTES):
+                await response.write(body[start : start + LARGE_BYTES])
+            await response.write(end)
+            await response.write_eof()
+        return response
 
     async def send_stream(
         self, request: web.BaseRequest, answer: RelayedAnswer
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -127,7 +127,7 @@
                 self.store,
                 self.server_client,
                 server_session.connector.activity,
-                HttpRelayClient(relay_session),
+                HttpRelayClient(relay_session, self.held),
                 self.clock,
                 self.metrics,
                 await self.open_control_plane(),
@@ -293,7 +293,9 @@
             lambda: describe_state(self.components, self.key_changes),
             self.components.explainer.explain,
         )
-        self.relay_handler = RelayHandler(self.components.relay_receiver.serve)
+        self.relay_handler = RelayHandler(
+            self.components.relay_receiver.serve, self.held
+        )
         for handler, address, max_bytes in (
             (ingress.handle, self.settings.caller_address, MAX_BODY_BYTES),
             (ingress.handle_ready, self.settings.ready_address, MAX_BODY_BYTES),
--- a/packages/ebonylb/tests/test_relay.py
+++ b/packages/ebonylb/tests/test_relay.py
@@ -10,7 +10,9 @@
 from multidict import istr
 from result import Err
 
+from ebonylb.adapters.clock import SystemClock
 from ebonylb.adapters.connections import StrictConnector
+from ebonylb.adapters.memory_metrics import InMemoryMetrics
 from ebonylb.adapters.relay_http import HttpRelayClient, RelayHandler
 from ebonylb.forwarding import CallerRequest, CallerStream
 from ebonylb.interfaces.relay import RelayedRequest
@@ -25,6 +27,7 @@
 from ebonylb.relay import RelayedAnswer
 from ebonylb.relay.entry_vms import TABLE
 from ebonylb.routes import Route, RouteKind, Target
+from ebonylb.service.held_bytes import HeldBytes
 from ebonylb.service.readiness import Readiness
 from ebonylb_standins.histories.virtual_time import run_virtual
 from ebonylb_standins.site.cut_path import PathState
@@ -59,9 +62,9 @@
 
 
 @contextlib.asynccontextmanager
-async def relaying(serve):
+async def relaying(serve, held=None):
     """Serve relayed requests, and yield the client and the address of the server."""
-    handler = RelayHandler(serve)
+    handler = RelayHandler(serve, held)
     server = web.Server(handler.handle, handler_cancellation=True, access_log=None)
     runner = web.ServerRunner(server, shutdown_timeout=0.1)
     await runner.setup()
@@ -72,7 +75,7 @@
     async with aiohttp.ClientSession(
         connector=connector, trace_configs=tracing
     ) as session:
-        yield HttpRelayClient(session), ServerAddress("b", f"{host}:{port}")
+        yield HttpRelayClient(session, held), ServerAddress("b", f"{host}:{port}")
     await runner.cleanup()
 
 
@@ -157,6 +160,45 @@
 
         run(scenario())
 
+    @pytest.mark.parametrize("is_stream", [False, True])
+    def test_what_is_passed_on_counts_when_it_arrives(self, is_stream):
+        """Guards against large answers that count as nothing at both entry VMs."""
+
+        async def scenario():
+            held = HeldBytes(SystemClock(), InMemoryMetrics(), 0, lambda: 1e9)
+            body = b"x" * 10_000_000
+            counted = []
+
+            async def serve(request):
+                if is_stream:
+                    return RelayedAnswer(HEAD, chunks=chunks_of(body, body))
+                return RelayedAnswer(HEAD, body)
+
+            async def watch():
+                while True:
+                    await asyncio.sleep(0)
+                    counted.append((held.received, held.bodies))
+
+            async with relaying(serve, held) as (client, address):
+                watching = asyncio.create_task(watch())
+                opened = await client.open(address, make_relayed())
+                response = opened.ok_value
+                if is_stream:
+                    assert [e async for e in response.raw_events()] == [
+                        (1, body),
+                        (2, body),
+                    ]
+                else:
+                    assert await response.body() == body
+                response.close()
+                await until(lambda: held.total == 0, 5_000)
+                watching.cancel()
+            assert len(body) / 2 < max(received for received, _ in counted)
+            if not is_stream:
+                assert max(bodies for _, bodies in counted) == len(body)
+
+        run(scenario())
+
     def test_refusals_arrive_as_refusals(self):
         async def scenario():
             refusal = Refusal(Outcome.NOT_RUN, "overloaded", "all are full", 300)
