uploads: bodies in chunks count when they arrive

Cause: the size of a body was taken from its stated length; one in chunks counted as nothing.

Change: a body without a length is read piece by piece and counted, twice as others are. When too much is held it waits as long as others do before they are read, and is refused as not run.

Why it works: nothing is held that is not counted, whatever states its length.

--- a/packages/ebonylb/src/ebonylb/platform/ingress.py
+++ b/packages/ebonylb/src/ebonylb/platform/ingress.py
@@ -1,7 +1,9 @@
 """HTTP interface to callers and to the load balancer."""
 
 import asyncio
+import functools
 import logging
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from typing import Any
 from urllib.parse import unquote
@@ -20,7 +22,7 @@
 from ..outcomes import Outcome, Refusal
 from ..routes import Route, RouteKind
 from ..service.held_bytes import RETRY_AFTER_MS as NO_MEMORY_RETRY_AFTER_MS
-from ..service.held_bytes import HeldBytes
+from ..service.held_bytes import HeldBytes, NoRoomError, Upload
 from ..service.readiness import Readiness
 from ..service.uploads import Uploads
 from . import wire_names
@@ -35,6 +37,8 @@
 MAX_HEADER_BYTES = 16_384
 # Maximum size of a body; the limit in the configuration never exceeds it.
 MAX_BODY_BYTES = 33_554_432
+# The body, and its copy in the write buffer of a server that reads it slowly.
+COPIES_OF_BODY = 2
 MAX_WAIT_MS = 1_000.0
 # Calls about batches end within this time, also while the store is slow.
 MAX_BATCH_CALL_MS = 1_500.0
@@ -81,6 +85,27 @@
     )
 
 
+async def read_counted(request: web.BaseRequest, upload: Upload) -> bytes:
+    """Read the body of a request, and count it when it arrives.
+
+    Raises
+    ------
+    HTTPRequestEntityTooLarge
+        It is larger than the request may be.
+    NoRoomError
+        Too much is held for others.
+    """
+    chunks, size = [], 0
+    async for chunk in request.content.iter_any():
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > request.client_max_size:
+            raise HTTPRequestEntityTooLarge(request.client_max_size, size)
+        if not await upload.grow(COPIES_OF_BODY * size):
+            raise NoRoomError("no room for the rest of the body")
+    return b"".join(chunks)
+
+
 def build_retry_after_header(refusal: Refusal) -> dict[str, str]:
     """Return the header with the retry delay; empty if a retry cannot succeed."""
     if refusal.retry_after_ms is None:
@@ -219,8 +244,13 @@
         request_id = request.headers.get(wire_names.REQUEST_ID, "")
         if self.held is None:
             return await self.handle_body(request, request_id, path, received_ms)
-        # The body, and its copy in the write buffer of a server that reads it slowly.
-        size = 2 * (request.content_length or 0)
+        if request.content_length is None:
+            with self.held.upload() as upload:
+                read_body = functools.partial(read_counted, request, upload)
+                return await self.handle_body(
+                    request, request_id, path, received_ms, read_body
+                )
+        size = COPIES_OF_BODY * request.content_length
         if not await self.held.wait_for_upload(size):
             return self.build_refusal_response(NO_MEMORY, request_id)
         with self.held.hold(size):
@@ -232,12 +262,21 @@
         request_id: str,
         path: str,
         received_ms: float,
+        read_body: Callable[[], Awaitable[bytes]] | None = None,
     ) -> web.StreamResponse:
-        """Forward a single request, or submit a batch."""
+        """Forward a single request, or submit a batch.
+
+        Parameters
+        ----------
+        read_body : callable or None
+            Reads the body; None to read it as it is.
+        """
         try:
-            body = await self.uploads.read(request.read)
+            body = await self.uploads.read(read_body or request.read)
         except HTTPRequestEntityTooLarge:
             return web.Response(status=413)
+        except NoRoomError:
+            return self.build_refusal_response(NO_MEMORY, request_id)
         except TimeoutError:
             return self.build_refusal_response(BODY_NOT_RECEIVED, request_id)
         message = CallerRequest(
--- a/packages/ebonylb/src/ebonylb/service/held_bytes.py
+++ b/packages/ebonylb/src/ebonylb/service/held_bytes.py
@@ -178,6 +178,36 @@
         self.close()
 
 
+class Upload:
+    """Body of a caller that states no length.
+
+    Parameters
+    ----------
+    held : HeldBytes
+        Counts it.
+
+    Attributes
+    ----------
+    size : int
+        Number of bytes that are counted.
+    """
+
+    def __init__(self, held: "HeldBytes") -> None:
+        self.held = held
+        self.size = 0
+
+    def count(self, size: int) -> None:
+        """Count another number of bytes; a small number is not counted."""
+        counted = size if size >= LARGE_BYTES else 0
+        self.held.bodies += counted - self.size
+        self.size = counted
+
+    async def grow(self, size: int) -> bool:
+        """Count what has arrived, and wait for room; return False if there is none."""
+        self.count(size)
+        return not self.size or await self.held.wait_for_upload(LARGE_BYTES)
+
+
 class HeldBytes:
     """Counts and bounds what is held for connections that are slow.
 
@@ -257,6 +287,15 @@
             await self.clock.sleep_ms(CHECK_INTERVAL_MS)
         return True
 
+    @contextlib.contextmanager
+    def upload(self) -> Iterator["Upload"]:
+        """Count a body of a caller from the arrival of its bytes on."""
+        upload = Upload(self)
+        try:
+            yield upload
+        finally:
+            upload.count(0)
+
     @contextlib.contextmanager
     def receive(
         self, close: Callable[[], None], stated_bytes: float = math.inf
--- a/packages/ebonylb/tests/test_held_bytes.py
+++ b/packages/ebonylb/tests/test_held_bytes.py
@@ -330,9 +330,14 @@
 
         run_virtual(scenario())
 
-    def test_the_refusal_of_an_upload_reaches_its_caller(self, monkeypatch):
+    @pytest.mark.parametrize("has_length", [True, False], ids=["length", "chunks"])
+    def test_the_refusal_of_an_upload_reaches_its_caller(self, has_length, monkeypatch):
         monkeypatch.setattr(held_bytes, "MAX_WAIT_MS", 60.0)
 
+        async def chunks():
+            for _ in range(3):
+                yield b"x" * 100_000
+
         async def scenario():
             held = make_held(4_000_000)
             clock = held.clock
@@ -346,10 +351,13 @@
             with held.hold(900_000):
                 async with (
                     aiohttp.ClientSession() as session,
-                    session.post(url, data=b"x" * 300_000) as response,
+                    session.post(
+                        url, data=b"x" * 300_000 if has_length else chunks()
+                    ) as response,
                 ):
                     body = await response.json()
                     retry_after = response.headers["Retry-After"]
+            assert held.total == 0
             await runner.cleanup()
             return response.status, body["outcome"], body["reason"], retry_after
 
--- a/packages/ebonylb_standins/tests/test_endless_answers.py
+++ b/packages/ebonylb_standins/tests/test_endless_answers.py
@@ -23,6 +23,10 @@
 # Of the smallest entry VMs of the users' sites.
 MEMORY_MB = 170
 CALLERS = 40
+# Each counts twice while it is sent on, so that one exceeds what may be held.
+UPLOADS = 4
+UPLOAD_BYTES = 32_000_000
+CHUNK_BYTES = 100_000
 DEADLINE_MS = 1_900
 EVENTS = 12
 TIMEOUT_S = 60.0
@@ -126,3 +130,48 @@
             assert {status for status, _ in answers} <= {502, 504} | successes
 
         asyncio.run(scenario())
+
+    # Guards against bodies of callers that bypass the limit, as they state no length.
+    @pytest.mark.parametrize("has_length", [True, False], ids=["length", "chunks"])
+    def test_large_bodies_of_callers_leave_room_for_others(self, has_length):
+        async def chunks():
+            for _ in range(UPLOAD_BYTES // CHUNK_BYTES):
+                yield b"x" * CHUNK_BYTES
+
+        async def upload(site, request_id):
+            url = f"http://{site.vms['vm-0'].front_address}/ask/1"
+            fields = {
+                "Host": HOST,
+                "Ebonylb-Request-Id": request_id,
+                "Ebonylb-Deadline-Ms": "10000",
+            }
+            data = b"x" * UPLOAD_BYTES if has_length else chunks()
+            async with site.http.post(url, data=data, headers=fields) as response:
+                return response.status, (await response.json())["outcome"]
+
+        async def scenario():
+            async with (
+                asyncio.timeout(TIMEOUT_S),
+                HttpSite(
+                    first_ip=365,
+                    entry_vms=1,
+                    engines=0,
+                    desks=2,
+                    settings=(f"Limits.MemoryMb={MEMORY_MB}",),
+                ) as site,
+            ):
+                await wait_until_served(site, "/ask/1")
+                is_over = asyncio.Event()
+                beside = asyncio.create_task(
+                    send_beside(site, is_over, "plain", "/ask/1", 1)
+                )
+                answers = await asyncio.gather(
+                    *(upload(site, f"upload-{n}") for n in range(UPLOADS))
+                )
+                peak_mb = peak_memory_mb(site.vms["vm-0"])
+                is_over.set()
+                await beside
+            assert peak_mb < MEMORY_MB
+            assert set(answers) == {(503, "not_run")}
+
+        asyncio.run(scenario())
