names: an upload without a length, and the version of a stream as stored

Cause: two names that a newcomer would take for something else: Upload beside service/uploads.py, and read() for what finds the version of a stream.

Change: UnsizedUpload and read_version; a test that streams which are left are not counted any more.

Measured: test_connections.py, test_held_bytes.py and test_software_versions.py pass.

--- a/packages/ebonylb/src/ebonylb/forwarding/stream_origins.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/stream_origins.py
@@ -231,11 +231,11 @@
             return self.open_streams[stream_id][1]
         try:
             async with asyncio.timeout(READ_TIMEOUT_MS / 1000):
-                return await self.read(stream_id, service)
+                return await self.read_version(stream_id, service)
         except TimeoutError:
             return None
 
-    async def read(self, stream_id: str, service: str) -> str | None:
+    async def read_version(self, stream_id: str, service: str) -> str | None:
         """Return the version on which a stream began, by the store as it is now.
 
         What this entry VM knows without it may be out of step: another version may have
--- a/packages/ebonylb/src/ebonylb/platform/ingress.py
+++ b/packages/ebonylb/src/ebonylb/platform/ingress.py
@@ -22,7 +22,7 @@
 from ..outcomes import Outcome, Refusal
 from ..routes import Route, RouteKind
 from ..service.held_bytes import RETRY_AFTER_MS as NO_MEMORY_RETRY_AFTER_MS
-from ..service.held_bytes import HeldBytes, NoRoomError, Upload
+from ..service.held_bytes import HeldBytes, NoRoomError, UnsizedUpload
 from ..service.readiness import Readiness
 from ..service.uploads import Uploads
 from . import wire_names
@@ -85,7 +85,7 @@
     )
 
 
-async def read_counted(request: web.BaseRequest, upload: Upload) -> bytes:
+async def read_counted(request: web.BaseRequest, upload: UnsizedUpload) -> bytes:
     """Read the body of a request, and count it when it arrives.
 
     Raises
--- a/packages/ebonylb/src/ebonylb/service/held_bytes.py
+++ b/packages/ebonylb/src/ebonylb/service/held_bytes.py
@@ -178,7 +178,7 @@
         self.close()
 
 
-class Upload:
+class UnsizedUpload:
     """Body of a caller that states no length.
 
     Parameters
@@ -288,9 +288,9 @@
         return True
 
     @contextlib.contextmanager
-    def upload(self) -> Iterator["Upload"]:
+    def upload(self) -> Iterator["UnsizedUpload"]:
         """Count a body of a caller from the arrival of its bytes on."""
-        upload = Upload(self)
+        upload = UnsizedUpload(self)
         try:
             yield upload
         finally:
--- a/packages/ebonylb/tests/test_connections.py
+++ b/packages/ebonylb/tests/test_connections.py
@@ -13,7 +13,9 @@
 from result import Err, Ok
 
 from ebonylb.adapters import HttpPlainService
+from ebonylb.adapters.clock import SystemClock
 from ebonylb.adapters.connections import StrictConnector
+from ebonylb.adapters.memory_metrics import InMemoryMetrics
 from ebonylb.interfaces import CallRequest
 from ebonylb.interfaces.server_client import (
     ServerAddress,
@@ -24,6 +26,7 @@
 from ebonylb.platform.servers import HttpServerClient, trace_connections
 from ebonylb.platform.sockets import create_keepalive_socket
 from ebonylb.platform.store import PlatformRowStore
+from ebonylb.service.held_bytes import HeldBytes
 from ebonylb_standins.waiting import until
 
 ORDER = VersionOrder("m", 2, "keep", "vm", 1, 0)
@@ -571,6 +574,26 @@
 
         run(scenario())
 
+    def test_a_stream_that_is_left_is_not_counted(self):
+        """Guards against memory that stays counted for streams which nobody reads."""
+
+        async def scenario():
+            block = b"id: 1\n\nid: 2\ndata: " + b"x" * 300_000
+            handle, _ = self.flooding(answer("q", b"", length=False), block)
+            held = HeldBytes(SystemClock(), InMemoryMetrics(), 0, lambda: 1e9)
+            async with serving(handle) as (client, address), asyncio.timeout(10):
+                client.held = held
+                response = (await client.open(address, make_request("q"))).ok_value
+                events = response.raw_events()
+                assert (await anext(events))[0] == 1
+                assert held.incoming
+                response.close()
+                del events, response
+                await until(lambda: not held.incoming, 2_000)
+            assert held.total == 0
+
+        run(scenario())
+
     def test_a_report_without_an_end_is_an_error(self):
         async def scenario():
             handle, sent = self.flooding(answer(None, length=False), b"[" * 100_000)
