modules: bodies that are received, and the reading of callers' requests

Change: service/incoming_bodies.py and platform/request_reading.py, moved without a change; tests of malformed heads and of endless answers share their checks and their site.

--- a/packages/ebonylb/src/ebonylb/adapters/relay_http.py
+++ b/packages/ebonylb/src/ebonylb/adapters/relay_http.py
@@ -31,7 +31,8 @@
 )
 from ..outcomes import StepError
 from ..relay.receiver import RelayedAnswer
-from ..service.held_bytes import LARGE_BYTES, HeldBytes, IncomingBody
+from ..service.held_bytes import HeldBytes
+from ..service.incoming_bodies import LARGE_BYTES, IncomingBody
 from .connections import accepts_connection
 from .http import NOT_SENT_ERRORS, describe_error
 from .response_heads import check_decoded_head
--- a/packages/ebonylb/src/ebonylb/platform/ingress.py
+++ b/packages/ebonylb/src/ebonylb/platform/ingress.py
@@ -1,11 +1,9 @@
 """HTTP interface to callers and to the load balancer."""
 
-import asyncio
 import functools
 import logging
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
-from typing import Any
 from urllib.parse import unquote
 
 import msgspec
@@ -22,23 +20,21 @@
 from ..outcomes import Outcome, Refusal
 from ..routes import Route, RouteKind
 from ..service.held_bytes import RETRY_AFTER_MS as NO_MEMORY_RETRY_AFTER_MS
-from ..service.held_bytes import HeldBytes, NoRoomError, UnsizedUpload
+from ..service.held_bytes import HeldBytes
+from ..service.incoming_bodies import NoRoomError
 from ..service.readiness import Readiness
 from ..service.uploads import Uploads
 from . import wire_names
 from .batch_wire import decode_batch, encode_results
 from .identity_headers import replace_identity
 from .numbers import parse_count, parse_milliseconds
+from .request_reading import COPIES_OF_BODY, read_counted
 from .response_writing import ResponseWriter
 
 logger = logging.getLogger(__name__)
 
 # Maximum length of a header line; the limit in the configuration never exceeds it.
 MAX_HEADER_BYTES = 16_384
-# Maximum size of a body; the limit in the configuration never exceeds it.
-MAX_BODY_BYTES = 33_554_432
-# The body, and its copy in the write buffer of a server that reads it slowly.
-COPIES_OF_BODY = 2
 MAX_WAIT_MS = 1_000.0
 # Calls about batches end within this time, also while the store is slow.
 MAX_BATCH_CALL_MS = 1_500.0
@@ -64,48 +60,6 @@
 }
 
 
-def make_request(
-    message: Any,
-    payload: Any,
-    protocol: Any,
-    writer: Any,
-    task: Any,
-    max_bytes: int = MAX_BODY_BYTES,
-) -> web.BaseRequest:
-    """Return an aiohttp request that accepts bodies of up to `max_bytes`."""
-    loop = asyncio.get_running_loop()
-    return web.BaseRequest(
-        message,
-        payload,
-        protocol,
-        writer,
-        task,
-        loop,
-        client_max_size=max_bytes,
-    )
-
-
-async def read_counted(request: web.BaseRequest, upload: UnsizedUpload) -> bytes:
-    """Read the body of a request, and count it when it arrives.
-
-    Raises
-    ------
-    HTTPRequestEntityTooLarge
-        It is larger than the request may be.
-    NoRoomError
-        Too much is held for others.
-    """
-    chunks, size = [], 0
-    async for chunk in request.content.iter_any():
-        chunks.append(chunk)
-        size += len(chunk)
-        if size > request.client_max_size:
-            raise HTTPRequestEntityTooLarge(request.client_max_size, size)
-        if not await upload.grow(COPIES_OF_BODY * size):
-            raise NoRoomError("no room for the rest of the body")
-    return b"".join(chunks)
-
-
 def build_retry_after_header(refusal: Refusal) -> dict[str, str]:
     """Return the header with the retry delay; empty if a retry cannot succeed."""
     if refusal.retry_after_ms is None:
--- a/packages/ebonylb/src/ebonylb/platform/response_writing.py
+++ b/packages/ebonylb/src/ebonylb/platform/response_writing.py
@@ -8,7 +8,8 @@
 
 from ..forwarding import CallerResponse, CallerStream
 from ..outcomes import StepError
-from ..service.held_bytes import LARGE_BYTES, Connection, HeldBytes
+from ..service.held_bytes import Connection, HeldBytes
+from ..service.incoming_bodies import LARGE_BYTES
 
 logger = logging.getLogger(__name__)
 
--- a/packages/ebonylb/src/ebonylb/platform/servers.py
+++ b/packages/ebonylb/src/ebonylb/platform/servers.py
@@ -33,7 +33,8 @@
     VersionOrder,
 )
 from ..outcomes import StepError
-from ..service.held_bytes import HeldBytes, IncomingBody, NoRoomError
+from ..service.held_bytes import HeldBytes
+from ..service.incoming_bodies import IncomingBody, NoRoomError
 from . import wire_names
 from .event_stream import EventDecoder
 from .numbers import parse_count, parse_rate
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -22,12 +22,8 @@
 from ..outcomes import new_token
 from ..platform import wire_names
 from ..platform.control_plane import HttpControlPlane, trace_lateness
-from ..platform.ingress import (
-    MAX_BODY_BYTES,
-    MAX_HEADER_BYTES,
-    Ingress,
-    make_request,
-)
+from ..platform.ingress import MAX_HEADER_BYTES, Ingress
+from ..platform.request_reading import MAX_BODY_BYTES, make_request
 from ..platform.row_decoding import (
     decode_configuration,
     decode_server,
--- a/packages/ebonylb/tests/test_border_fuzz.py
+++ b/packages/ebonylb/tests/test_border_fuzz.py
@@ -23,8 +23,9 @@
 from ebonylb.outcomes import Outcome, Refusal, StepError
 from ebonylb.platform.batch_wire import decode_batch
 from ebonylb.platform.event_stream import EventDecoder
-from ebonylb.platform.ingress import Ingress, make_request
+from ebonylb.platform.ingress import Ingress
 from ebonylb.platform.numbers import parse_count, parse_milliseconds
+from ebonylb.platform.request_reading import make_request
 from ebonylb.platform.row_decoding import decode_server
 from ebonylb.platform.servers import decode_load, says_leaving
 from ebonylb.platform.store import WirePage
--- a/packages/ebonylb/tests/test_held_bytes.py
+++ b/packages/ebonylb/tests/test_held_bytes.py
@@ -18,12 +18,10 @@
 from ebonylb.platform.row_decoding import decode_configuration
 from ebonylb.platform.servers import HttpServerClient, trace_connections
 from ebonylb.service import held_bytes
-from ebonylb.service.held_bytes import (
+from ebonylb.service.held_bytes import MAX_TURN_MS, STREAM_BYTES, HeldBytes
+from ebonylb.service.incoming_bodies import (
     LARGE_BYTES,
-    MAX_TURN_MS,
     RECEIVE_BUFFER_BYTES,
-    STREAM_BYTES,
-    HeldBytes,
     NoRoomError,
 )
 from ebonylb.service.readiness import Readiness
--- a/packages/ebonylb/tests/test_response_heads.py
+++ b/packages/ebonylb/tests/test_response_heads.py
@@ -197,6 +197,14 @@
     return malformed, server.connections
 
 
+def check_malformed(reader, make):
+    """Check that a malformed response is none, and that its connection is given up."""
+    result, connections = run(read_malformed(reader, make))
+    assert isinstance(result, Err)
+    assert result.err_value.may_have_run
+    assert connections == 2
+
+
 def with_status(status):
     """Return a function that makes a response with a status line."""
     return lambda lines: make_response(b"HTTP/1.1 " + status, *lines)
@@ -216,10 +224,7 @@
         "status", [b"000 OK", b"099 Low", b"101 Switching Protocols", b"600 High"]
     )
     def test_an_invalid_status_is_an_error(self, reader, status):
-        result, connections = run(read_malformed(reader, with_status(status)))
-        assert isinstance(result, Err)
-        assert result.err_value.may_have_run
-        assert connections == 2
+        check_malformed(reader, with_status(status))
 
 
 class TestFieldNames:
@@ -277,10 +282,7 @@
         ],
     )
     def test_a_malformed_name_is_an_error(self, reader, make):
-        result, connections = run(read_malformed(reader, make))
-        assert isinstance(result, Err)
-        assert result.err_value.may_have_run
-        assert connections == 2
+        check_malformed(reader, make)
 
 
 class TestFieldValues:
@@ -301,10 +303,7 @@
         ids=["zero", "control", "tab", "return", "delete", "zero reason", "reason"],
     )
     def test_a_control_byte_is_an_error(self, reader, make):
-        result, connections = run(read_malformed(reader, make))
-        assert isinstance(result, Err)
-        assert result.err_value.may_have_run
-        assert connections == 2
+        check_malformed(reader, make)
 
 
 CHUNKS = b"2\r\n{}\r\n0\r\n\r\n"
@@ -334,10 +333,7 @@
     def test_another_coding_than_chunks_is_an_error(self, reader, coding):
         line = b"Transfer-Encoding: " + coding
         make = with_line(line, length=False, body=CHUNKS)
-        result, connections = run(read_malformed(reader, make))
-        assert isinstance(result, Err)
-        assert result.err_value.may_have_run
-        assert connections == 2
+        check_malformed(reader, make)
 
     @pytest.mark.parametrize("reader", READERS)
     def test_chunks_of_the_first_version_are_an_error(self, reader):
@@ -348,9 +344,7 @@
             options = {"body": CHUNKS, "length": False}
             return make_response(status_line, *lines, coding, **options)
 
-        result, connections = run(read_malformed(reader, make))
-        assert isinstance(result, Err)
-        assert connections == 2
+        check_malformed(reader, make)
 
 
 class TestSoundHeads:
--- a/packages/ebonylb_standins/tests/test_endless_answers.py
+++ b/packages/ebonylb_standins/tests/test_endless_answers.py
@@ -39,6 +39,17 @@
     return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) * 1_024 / 1e6
 
 
+def make_site(first_ip, desks):
+    """Return a site of one entry VM whose memory is limited."""
+    return HttpSite(
+        first_ip=first_ip,
+        entry_vms=1,
+        engines=0,
+        desks=desks,
+        settings=(f"Limits.MemoryMb={MEMORY_MB}",),
+    )
+
+
 async def send(site, path, request_id):
     """Send a request; return its status and how many bytes of a body came."""
     vm = site.vms["vm-0"]
@@ -88,13 +99,7 @@
         async def scenario():
             async with (
                 asyncio.timeout(TIMEOUT_S),
-                HttpSite(
-                    first_ip=360,
-                    entry_vms=1,
-                    engines=0,
-                    desks=0,
-                    settings=(f"Limits.MemoryMb={MEMORY_MB}",),
-                ) as site,
+                make_site(first_ip=360, desks=0) as site,
             ):
                 answer = ENDLESS_ANSWERS[name]
                 for number in range(2):
@@ -152,13 +157,7 @@
         async def scenario():
             async with (
                 asyncio.timeout(TIMEOUT_S),
-                HttpSite(
-                    first_ip=365,
-                    entry_vms=1,
-                    engines=0,
-                    desks=2,
-                    settings=(f"Limits.MemoryMb={MEMORY_MB}",),
-                ) as site,
+                make_site(first_ip=365, desks=2) as site,
             ):
                 await wait_until_served(site, "/ask/1")
                 is_over = asyncio.Event()
