soak: broken variants of customers and duties meet the faults that show them

In both revocations the entry VMs that get requests with the key are a suspended one and one that starts without the store; no entry VM is cut off from the store. The one without a configuration refuses all keys in the variant too. Whether the suspended one honours the key depends on what it reads first when it is resumed, the request or the new configuration, and a kill may come in between. - While the platform's API is down, few calls arrive, and they may be of one holder only.

Change: `run_soak` takes the function that injects the faults. The default is the one it had, with the same generators. The two tests of these variants create the situation: a key is taken away while an entry VM is cut off from the store, and calls of duties take 700 ms, so that those of several holders overlap. A third test asserts that nothing is reported of the product under the same faults, so that a check that always reports doesn't pass. The other variants and the tests that all checks pass keep the random faults.

--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/customers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/customers.py
@@ -4,7 +4,7 @@
 import random
 import signal
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -188,20 +188,25 @@
             check_refusal(site, request_id, sending, response.status)
 
 
-async def take_key_away(site: "SoakSite", rng: random.Random) -> None:
-    """Take a key away while two entry VMs have different faults and get requests.
+async def take_key_away(
+    site: "SoakSite",
+    rng: random.Random,
+    faults: Sequence[Callable] = REVOCATION_FAULTS,
+) -> None:
+    """Take a key away while at most two entry VMs have faults and get requests.
 
-    The requests are sent until after the revocation must be in force.
+    Each has another one of `faults`. The requests are sent until after the revocation
+    must be in force.
     """
     customer = rng.choice(CUSTOMERS)
-    vms = rng.sample(list(site.vms.values()), min(2, len(site.vms)))
-    chosen = dict(zip(rng.sample(REVOCATION_FAULTS, len(vms)), vms, strict=True))
+    vms = rng.sample(list(site.vms.values()), min(2, len(site.vms), len(faults)))
+    chosen = dict(zip(rng.sample(faults, len(vms)), vms, strict=True))
     names = " ".join(f"{fault.__name__} {vm.name}" for fault, vm in chosen.items())
     site.record_event("fault", f"key of {customer} taken away, {names}")
     probes = []
-    async with AsyncExitStack() as faults:
+    async with AsyncExitStack() as active:
         for fault, vm in chosen.items():
-            await faults.enter_async_context(fault(site, vm))
+            await active.enter_async_context(fault(site, vm))
         key = site.keys.replace(customer)
         site.write_configuration()
         until_s = site.keys.now_s() + REVOKE_S + PROBED_AFTER_S
@@ -223,6 +228,13 @@
         await asyncio.sleep(rng.uniform(0.1, 0.6))
 
 
+async def revoke_behind_cut(
+    site: "SoakSite", rng: random.Random, until_s: float
+) -> None:
+    """Take a key away while one entry VM is cut off from the store."""
+    await take_key_away(site, rng, (cut_from_store,))
+
+
 def check_refusal(
     site: "SoakSite", request_id: str, sending: Sending, status: int
 ) -> None:
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/duties.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/duties.py
@@ -24,6 +24,9 @@
 # an entry VM counts when it sends, half a round trip before.
 WINDOW_EDGE_MS = 100.0
 CALM_WINDOWS = 2
+# Shorter than a window and the timeout of a call, longer than all entry VMs need to
+# begin one.
+SLOW_ANSWER_MS = 700.0
 # A report comes 1.5 s after its window, 8 s with a takeover of the duty. Machines that
 # run many tests are slower.
 REPORT_TIMEOUT_S = 25.0
@@ -121,6 +124,14 @@
         platform.delay_ms, platform.lost_answers = 4.0, 0
 
 
+async def answer_slowly(site: "SoakSite", rng: random.Random, until_s: float) -> None:
+    """Let each call of a duty take most of a window."""
+    site.record_event("fault", "platform answers slowly")
+    site.platform.delay_ms = SLOW_ANSWER_MS
+    await asyncio.sleep(until_s - asyncio.get_running_loop().time())
+    site.platform.delay_ms = 4.0
+
+
 async def run_calm(site: "SoakSite", callers: list["Caller"]) -> None:
     """Send requests without faults, and check the reports of whole windows.
 
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/run.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/run.py
@@ -4,7 +4,7 @@
 import math
 import random
 import shutil
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 
 from ebonylb.adapters import SystemClock
@@ -207,6 +207,22 @@
         site.store.data.put("op", "version/m", row)
 
 
+# Injects faults into the site until a loop time in seconds.
+Disturbance = Callable[[SoakSite, random.Random, float], Awaitable[None]]
+
+
+async def disturb_all(site: SoakSite, rng: random.Random, until_s: float) -> None:
+    """Inject all kinds of faults; those beside the sequence have own generators."""
+    seed = site.seed
+    await asyncio.gather(
+        inject_faults(site, rng, until_s),
+        grow_and_reset(site, random.Random(f"growth-{seed}"), until_s),
+        cut_paths(site, random.Random(f"cuts-{seed}"), until_s),
+        customers.take_keys_away(site, random.Random(f"keys-{seed}"), until_s),
+        duties.disturb_platform(site, random.Random(f"duties-{seed}"), until_s),
+    )
+
+
 async def run_soak(
     seed: int,
     seconds: float,
@@ -214,6 +230,7 @@
     log_folder: Path | None = None,
     program: Sequence[str] = PROGRAM,
     entry_vms: int = ENTRY_VMS,
+    disturb: Disturbance = disturb_all,
 ) -> list[tuple[float, str, str]]:
     """Run one soak and return the failed checks as (time in s, check, detail).
 
@@ -234,6 +251,8 @@
         Arguments of the Python interpreter for each entry VM.
     entry_vms : int
         Number of entry VMs.
+    disturb : Disturbance
+        Injects the faults.
     """
     site = SoakSite(
         entry_vms=entry_vms, engines=3, desks=3, seed=seed, first_ip=first_ip
@@ -253,12 +272,8 @@
         for caller in callers:
             caller.bookings = set()
         await asyncio.gather(
-            inject_faults(site, rng, until_s),
-            grow_and_reset(site, random.Random(f"growth-{seed}"), until_s),
-            cut_paths(site, random.Random(f"cuts-{seed}"), until_s),
+            disturb(site, rng, until_s),
             publish_versions(site, until_s),
-            customers.take_keys_away(site, random.Random(f"keys-{seed}"), until_s),
-            duties.disturb_platform(site, random.Random(f"duties-{seed}"), until_s),
             *(client.run(until_s) for client in (*trainers, *callers)),
         )
         for vm in site.vms.values():
--- a/packages/ebonylb_standins/tests/test_soak.py
+++ b/packages/ebonylb_standins/tests/test_soak.py
@@ -9,7 +9,11 @@
 
 from ebonylb_standins.site.control_plane import FakeControlPlane, RecordedCall
 from ebonylb_standins.soak import duties
-from ebonylb_standins.soak.customers import REVOKE_S, CustomerKeys
+from ebonylb_standins.soak.customers import (
+    REVOKE_S,
+    CustomerKeys,
+    revoke_behind_cut,
+)
 from ebonylb_standins.soak.faults import terminate_and_restart
 from ebonylb_standins.soak.run import run_soak
 
@@ -24,6 +28,18 @@
 SHORT_IP, REGRESSION_IP, BROKEN_IP, PAIR_IP = 200, 620, 205, 600
 
 
+async def disturb_customers_and_duties(site, rng, until_s):
+    """Create the situations in which the broken variants differ from the product.
+
+    Random faults of a short run may create neither: an entry VM that is cut off from
+    the store when a key is taken away, and several calls of a duty at the same time.
+    """
+    await asyncio.gather(
+        revoke_behind_cut(site, rng, until_s),
+        duties.answer_slowly(site, rng, until_s),
+    )
+
+
 @pytest.mark.xdist_group("soak")
 class TestSoak:
     def test_all_checks_pass(self):
@@ -76,9 +92,21 @@
     ):
         """Two at a time, of parts that have nothing in common, which saves a run."""
         program = ("-m", "ebonylb_standins.soak.broken", *checks_by_variant)
-        failures = asyncio.run(run_soak(1, 5.0, first_ip, program=program))
+        failures = asyncio.run(
+            run_soak(
+                1,
+                5.0,
+                first_ip,
+                program=program,
+                disturb=disturb_customers_and_duties,
+            )
+        )
         assert set(checks_by_variant.values()) <= {check for _, check, _ in failures}
 
+    def test_nothing_is_reported_of_the_product_under_the_same_faults(self):
+        run = run_soak(1, 5.0, PAIR_IP, disturb=disturb_customers_and_duties)
+        assert asyncio.run(run) == []
+
 
 class TestChecks:
     @pytest.mark.parametrize(("count", "is_reported"), [(40, False), (36, True)])
