--- a/packages/ebonylb/tests/test_software_versions.py
+++ b/packages/ebonylb/tests/test_software_versions.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import re
 from collections import Counter
 
 import pytest
@@ -13,7 +12,6 @@
 from hypothesis import strategies as st
 
 from ebonylb.fleet import ListedServer, ServerDirectory, ServerStage
-from ebonylb.forwarding import CallerRequest
 from ebonylb.forwarding.stream_origins import (
     DELETE_INTERVAL_MS,
     RETENTION_MS,
@@ -26,34 +24,19 @@
     first_row,
     row_key,
 )
-from ebonylb.outcomes import Outcome, StepError
+from ebonylb.outcomes import Outcome
 from ebonylb.storage.store_time import StoreTime
 from ebonylb_standins.histories.virtual_time import run_virtual
 from ebonylb_standins.site.manual_clock import ManualClock
 from ebonylb_standins.site.row_store import MemoryRowStore, StoreData
-from ebonylb_standins.site.servers import PlannedResponse
-from ebonylb_standins.site.world import World, read_all
-
-EVENTS = 30
-
-
-def versions_of(lines):
-    """Return the software versions that made the given event data."""
-    versions = set()
-    for line in lines:
-        match = re.search(r"@(\S+)", line)
-        versions.add(match[1] if match else "v1")
-    return versions
-
-
-def make_world(engine_versions=(), plain_versions=()):
-    """Return a site with one server for each version."""
-    world = World(len(engine_versions), len(plain_versions))
-    names = [f"e{n}" for n in range(len(engine_versions))]
-    names += [f"p{n}" for n in range(len(plain_versions))]
-    for name, version in zip(names, [*engine_versions, *plain_versions], strict=True):
-        world.port.servers[name].software_version = version
-    return world
+from ebonylb_standins.site.stream_caller import (
+    EVENTS,
+    Caller,
+    make_world,
+    replace_servers,
+    versions_of,
+)
+from ebonylb_standins.site.world import read_all
 
 
 async def run_items(world, vm, events, disturb, items=8):
@@ -66,19 +49,6 @@
     return [result.text.split("\n") for result in results]
 
 
-def replace_servers(world, names, successors, software_version):
-    """Replace plain servers by others, which run another software version."""
-    for name in successors:
-        world.add_server(name, "desk", 6, "north")
-        world.port.servers[name].software_version = software_version
-    for name in names:
-        world.port.servers[name].mode = "absent"
-        world.unlisted.add(name)
-    for vm in world.vms.values():
-        if not vm.is_stopped:
-            vm.refresh()
-
-
 class TestItems:
     # Guards against texts with events of two software versions.
     def test_texts_hold_events_of_one_software_version(self):
@@ -144,52 +114,6 @@
         run_virtual(scenario())
 
 
-class Caller:
-    """Caller that reads one stream and takes it up at other entry VMs."""
-
-    def __init__(self, world, request_id, names_stream=True):
-        self.names_stream = names_stream
-        self.world = world
-        self.request_id = request_id
-        self.tries = 0
-        self.events = []
-        world.port.planned_responses[request_id] = PlannedResponse(EVENTS)
-
-    async def read(self, vm, max_events=EVENTS, path="/chat/1"):
-        """Read up to a number of events through an entry VM; return the response."""
-        self.tries += 1
-        request_id = (
-            f"{self.request_id}-try{self.tries}" if self.events else (self.request_id)
-        )
-        self.world.port.planned_responses[request_id] = PlannedResponse(EVENTS)
-        request = CallerRequest(
-            request_id,
-            "POST",
-            "site",
-            path,
-            path,
-            (("Host", "site"),),
-            b"x",
-            self.world.clock.monotonic_ms(),
-            8_000.0,
-            resume_after=len(self.events) or None,
-            resumes=self.request_id if self.events and self.names_stream else "",
-        )
-        response = await vm.forwarder.serve(request, vm.forwarder.find_route(request))
-        chunks = getattr(response, "chunks", None)
-        if chunks is None:
-            return response
-        try:
-            async for block in chunks:
-                self.events.append(block.decode())
-                if len(self.events) == max_events:
-                    break
-        except StepError:
-            pass
-        await chunks.aclose()
-        return response
-
-
 class TestStreams:
     # Guards against streams with events of two software versions, in one response.
     def test_a_broken_stream_continues_on_its_software_version(self):
