streams: a version is bound once, and a late row never names another one

Cause: begin() enqueued and remembered a row with v2, waited 150 ms, and let the stream begin anew on v1. The write was still under way, had no condition, and took effect. What the entry VM remembered was wrong as well. Ruled out: a missing row with a wrong history; the rows are there and name v2 (TestRowIsLate reads them with the memory of the reader cleared). Change: a stream is bound to one version before its first event; rows are written on condition that none exists; while the outcome of a write is unclear the stream keeps its version, bound by a copy at another entry VM, or else by the write itself.

--- a/packages/ebonylb/src/ebonylb/forwarding/request_runs.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/request_runs.py
@@ -24,7 +24,8 @@
 from .server_pool import ServerPool
 from .stream_origins import StreamOrigins
 from .streams import (
-    OriginNotStoredError,
+    OriginUnknownError,
+    OtherVersionError,
     open_with_timeout,
     relay_stream,
     resolve_server,
@@ -375,21 +376,26 @@
 
         Raises
         ------
-        OriginNotStoredError
-            Another entry VM could continue the stream on another version. The stream
-            may begin again on the version that this entry VM need not record.
+        OtherVersionError
+            The stream must begin again on another version.
+        OriginUnknownError
+            Another entry VM could continue the stream on another version, whichever
+            it begins on.
         """
         if state.request.resume_after and state.software_version is not None:
             return
-        is_recorded = await self.origins.begin(state.stream_id, state.service, server)
-        if not is_recorded and state.route.resumable:
-            state.software_version = self.origins.history.unrecorded_version(
-                state.service
-            )
-            raise OriginNotStoredError(
-                "stream.origin", server.name, "software version not stored"
-            )
+        bound = await self.origins.begin(state.stream_id, state.service, server)
         state.software_version = server.software_version
+        if not state.route.resumable:
+            return
+        if isinstance(bound, Err):
+            cause = f"software version not stored: {bound.err_value}"
+            raise OriginUnknownError("stream.origin", server.name, cause)
+        if bound.ok_value != server.software_version:
+            state.software_version = bound.ok_value
+            raise OtherVersionError(
+                "stream.origin", server.name, f"bound to version {bound.ok_value}"
+            )
 
     async def choose_runs(self, has_failed_to_connect: bool) -> "RequestRuns":
         """Return the runs that continue a broken stream."""
--- a/packages/ebonylb/src/ebonylb/forwarding/stream_origins.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/stream_origins.py
@@ -1,35 +1,36 @@
-"""Software versions on which callers' streams began, shared through the store.
+"""Software versions on which callers' streams began.
 
 A caller takes a stream up at any entry VM and names the request that brought its first
-event. While a service has servers of several software versions, the version of that
-request is stored before its first event is sent on. A stream that is not stored began
-before that, on the version that the service had alone, which `VersionHistory` keeps.
+event. The table in ``docs/design.md`` says what is known of the version of that event,
+by whom, and what the caller gets.
 """
 
 import asyncio
 import logging
-from collections import OrderedDict, deque
+from collections import OrderedDict
+from collections.abc import Sequence
+from dataclasses import dataclass
 
 from result import Err, Ok, Result
-from xxhash import xxh64_intdigest
 
 from ..fleet import ListedServer, ServerDirectory
 from ..interfaces import Clock
-from ..interfaces.row_store import Put, RowKey, RowStore, next_key
-from ..outcomes import Outcome
+from ..interfaces.stream_origins import OriginQuery, StreamOrigin
+from ..outcomes import Outcome, StepError
 from .messages import CallerRequest, CallerResponse, make_refusal
-from .version_history import VersionHistory
+from .origin_peers import OriginPeers
+from .origin_rows import OriginRows
+from .version_history import STREAM_LIFETIME_MS, VersionHistory
 
 logger = logging.getLogger(__name__)
 
-TABLE = "stream-origins"
-# Each partition accepts 200 transactions a second.
-PARTITIONS = 8
-MAX_ROWS_PER_WRITE = 90
 MAX_KNOWN_ORIGINS = 20_000
-# The first event of a stream waits no longer for the store. Most first events have some
-# hundred milliseconds.
+# The first event of a stream waits no longer for the store while another entry VM can
+# keep the origin. Most first events have some hundred milliseconds.
 WRITE_TIMEOUT_MS = 150.0
+# With no other entry VM in reach, a write that is under way decides. Callers wait two
+# seconds for the first event.
+LAST_WRITE_TIMEOUT_MS = 1_000.0
 # Two reads of a store that is slowed down sixtyfold take half a second. The first event
 # of a stream that is taken up has the rest of the two seconds that callers wait.
 READ_TIMEOUT_MS = 600.0
@@ -37,24 +38,42 @@
 RETRY_MS = 1_000.0
 # A server of the missing version may be back, or the store, after this time.
 REFUSAL_RETRY_AFTER_MS = 1_000
-# Rows are deleted after this time, longer than any stream lasts.
-RETENTION_MS = 120_000.0
-DELETE_INTERVAL_MS = 10_000.0
+REPAIR_INTERVAL_MS = 500.0
 
 
-def row_key(stream_id: str) -> RowKey:
-    """Return the key of a stream's row."""
-    partition = xxh64_intdigest(stream_id.encode()) % PARTITIONS
-    return RowKey(TABLE, f"p{partition}", stream_id[:200])
+@dataclass(slots=True)
+class KnownOrigin:
+    """Software version on which a stream began, and who else knows it.
+
+    Parameters
+    ----------
+    since_ms : float
+        Monotonic time since which it is known here.
+    needs_row : bool
+        Whether the store does not name it although it must.
+    is_replicated : bool
+        Whether another entry VM keeps it.
+    """
+
+    service: str
+    software_version: str
+    since_ms: float
+    needs_row: bool = False
+    is_replicated: bool = False
 
 
 class StreamOrigins:
     """Software version on which each stream began.
 
+    A stream is bound to its version before its first event is sent on, and never to
+    another one afterwards. Whatever is known of a bound stream therefore stays true.
+
     Parameters
     ----------
-    store : RowStore
-        The platform's store.
+    rows : OriginRows
+        Versions in the platform's store.
+    peers : OriginPeers
+        Versions that other entry VMs keep.
     clock : Clock
         Source of time.
     directory : ServerDirectory
@@ -66,26 +85,25 @@
     ----------
     open_streams : dict of str to (str, str)
         Service and software version of each stream in progress here, by its id.
-    known : dict of str to str
-        Versions that this entry VM has stored or read.
+    known : dict of str to KnownOrigin
+        Bound streams of this entry VM, of others, and from the store, oldest first.
     """
 
     def __init__(
         self,
-        store: RowStore,
+        rows: OriginRows,
+        peers: OriginPeers,
         clock: Clock,
         directory: ServerDirectory,
         history: VersionHistory,
     ) -> None:
-        self.store = store
+        self.rows = rows
+        self.peers = peers
         self.clock = clock
         self.directory = directory
         self.history = history
         self.open_streams: dict[str, tuple[str, str]] = {}
-        self.known: OrderedDict[str, str] = OrderedDict()
-        self.pending: dict[str, dict[str, Put]] = {}
-        self.flushes: dict[str, asyncio.Task[bool]] = {}
-        self.written: deque[tuple[float, RowKey]] = deque()
+        self.known: OrderedDict[str, KnownOrigin] = OrderedDict()
         self.failed_ms = -1e12
         directory.software_versions.listeners.append(self.store_open_streams)
 
@@ -133,142 +151,226 @@
         """Record that a stream is in progress here."""
         self.open_streams[stream_id] = (service, server.software_version)
 
-    async def begin(self, stream_id: str, service: str, server: ListedServer) -> bool:
-        """Record a stream before its first event is sent on.
+    def end(self, stream_id: str) -> None:
+        """Record that a stream is no longer in progress here."""
+        self.open_streams.pop(stream_id, None)
+
+    def bind(
+        self,
+        stream_id: str,
+        service: str,
+        software_version: str,
+        needs_row: bool = False,
+        is_replicated: bool = False,
+    ) -> str:
+        """Remember the version of a stream, and return it; the first one holds."""
+        known = self.known.get(stream_id)
+        if known is not None:
+            known.needs_row = known.needs_row and needs_row
+            known.is_replicated = known.is_replicated or is_replicated
+            return known.software_version
+        self.known[stream_id] = KnownOrigin(
+            service,
+            software_version,
+            self.clock.monotonic_ms(),
+            needs_row,
+            is_replicated,
+        )
+        if len(self.known) > MAX_KNOWN_ORIGINS:
+            self.known.popitem(last=False)
+        return software_version
+
+    async def begin(
+        self, stream_id: str, service: str, server: ListedServer
+    ) -> Result[str, StepError]:
+        """Bind a stream to a version before its first event is sent on.
 
         Returns
         -------
-        bool
-            False if another entry VM could take the stream for one of another version.
+        Result
+            The version on which the stream must run, which may be another one than
+            that of the server. The error means that it must not run at all: another
+            entry VM could take it for one of another version.
         """
-        self.add_open(stream_id, service, server)
-        software_version = server.software_version
+        bound = await self.choose_version(stream_id, service, server.software_version)
+        if isinstance(bound, Ok) and bound.ok_value == server.software_version:
+            self.add_open(stream_id, service, server)
+        return bound
+
+    async def choose_version(
+        self, stream_id: str, service: str, software_version: str
+    ) -> Result[str, StepError]:
+        """Return the version of a new stream, known to the store or to others."""
         if not self.history.needs_record(service):
-            return True
-        if self.can_store() and await self.write(stream_id, software_version):
-            return True
+            return Ok(self.bind(stream_id, service, software_version))
+        written: asyncio.Future[Result[str, StepError]] | None = None
+        stored: Result[str, StepError] = Err(
+            StepError("stream.origin", "store", "not written", False)
+        )
+        if self.can_store():
+            written = self.rows.write(stream_id, software_version)
+            stored = await self.wait_for_write(written, WRITE_TIMEOUT_MS)
+        if isinstance(stored, Ok):
+            return Ok(self.bind(stream_id, service, stored.ok_value))
         unrecorded = self.history.unrecorded_version(service)
-        return unrecorded in (
-            None,
-            software_version,
-        ) or not self.directory.has_ready_version(service, unrecorded)
-
-    def end(self, stream_id: str) -> None:
-        """Record that a stream is no longer in progress here."""
-        self.open_streams.pop(stream_id, None)
+        if unrecorded in (None, software_version):
+            return Ok(self.bind(stream_id, service, software_version, needs_row=True))
+        may_be_written = stored.err_value.may_have_run
+        if not may_be_written and self.directory.has_ready_version(service, unrecorded):
+            return Ok(unrecorded)
+        if not may_be_written:
+            return Ok(self.bind(stream_id, service, software_version))
+        kept = await self.peers.replicate(
+            [StreamOrigin(stream_id, service, software_version)]
+        )
+        if stream_id in kept:
+            return Ok(self.bind(stream_id, service, kept[stream_id], True, True))
+        if may_be_written and written is not None:
+            stored = await self.wait_for_write(written, LAST_WRITE_TIMEOUT_MS)
+            if isinstance(stored, Ok):
+                return Ok(self.bind(stream_id, service, stored.ok_value))
+            return stored
+        return stored
+
+    async def wait_for_write(
+        self, written: asyncio.Future[Result[str, StepError]], timeout_ms: float
+    ) -> Result[str, StepError]:
+        """Return the outcome of a write, or an unclear one after the timeout."""
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                stored = await asyncio.shield(written)
+        except TimeoutError:
+            stored = Err(StepError("stream.origin", "store", "no answer in time"))
+        if isinstance(stored, Err):
+            self.failed_ms = self.clock.monotonic_ms()
+        return stored
 
     def store_open_streams(self, service: str) -> None:
         """Store the streams in progress when another version is listed."""
         if len(self.directory.software_versions.listed(service)) < 2:
             return
         for stream_id, (its_service, version) in self.open_streams.items():
-            if its_service == service and stream_id not in self.known:
-                self.enqueue(stream_id, version)
-
-    def enqueue(self, stream_id: str, software_version: str) -> asyncio.Task[bool]:
-        """Add a row to the next write of its partition; return the write."""
-        key = row_key(stream_id)
-        self.pending.setdefault(key.part, {})[stream_id] = Put(
-            key, software_version.encode()
-        )
-        self.remember(stream_id, software_version)
-        flush = self.flushes.get(key.part)
-        if flush is None or flush.done():
-            flush = asyncio.create_task(self.flush(key.part))
-            self.flushes[key.part] = flush
-        return flush
-
-    async def write(self, stream_id: str, software_version: str) -> bool:
-        """Store the version of a stream and return whether that is confirmed."""
-        flush = self.enqueue(stream_id, software_version)
-        try:
-            async with asyncio.timeout(WRITE_TIMEOUT_MS / 1000):
-                return await asyncio.shield(flush)
-        except TimeoutError:
-            self.failed_ms = self.clock.monotonic_ms()
-            return False
-
-    async def flush(self, part: str) -> bool:
-        """Write the pending rows of a partition; return whether all are stored."""
-        all_stored = True
-        # Requests that begin at the same moment share a transaction.
-        await asyncio.sleep(0)
-        while pending := self.pending.get(part):
-            batch = [
-                pending.pop(stream_id)
-                for stream_id in list(pending)[:MAX_ROWS_PER_WRITE]
-            ]
-            stored = await self.store.transact([], batch)
-            now = self.clock.monotonic_ms()
-            if isinstance(stored, Err):
-                self.failed_ms, all_stored = now, False
-                logger.warning(
-                    "software versions of streams not stored",
-                    extra={"streams": len(batch), "cause": str(stored.err_value)},
-                )
-                continue
-            self.written.extend((now, put.row_key) for put in batch)
-        return all_stored
+            if its_service == service:
+                self.bind(stream_id, service, version)
+                self.store(stream_id, self.known[stream_id])
 
-    def remember(self, stream_id: str, software_version: str) -> None:
-        """Keep the version of a stream in memory; the oldest is dropped."""
-        self.known[stream_id] = software_version
-        self.known.move_to_end(stream_id)
-        if len(self.known) > MAX_KNOWN_ORIGINS:
-            self.known.popitem(last=False)
+    def store(
+        self, stream_id: str, known: KnownOrigin
+    ) -> asyncio.Future[Result[str, StepError]]:
+        """Write the row of a bound stream; `repair` repeats this until it is stored."""
+        known.needs_row = True
+        written = self.rows.write(stream_id, known.software_version)
+
+        def record(future: asyncio.Future[Result[str, StepError]]) -> None:
+            if not future.cancelled() and isinstance(future.result(), Ok):
+                known.needs_row = False
+
+        written.add_done_callback(record)
+        return written
 
     async def find(self, stream_id: str, service: str) -> str | None:
         """Return the version on which a stream began; None if it cannot be known.
 
+        What this entry VM knows of the service may be out of step: another version may
+        have joined. Only its store, or an entry VM that ran the stream, tells.
+
         Parameters
         ----------
         stream_id : str
             Empty if the caller does not name the stream.
         """
-        if stream_id in self.known:
-            return self.known[stream_id]
-        if stream_id in self.open_streams:
-            return self.open_streams[stream_id][1]
+        if known := self.known.get(stream_id):
+            return known.software_version
+        asking = asyncio.create_task(
+            self.peers.find(OriginQuery(stream_id, service))
+            if stream_id
+            else return_none()
+        )
+        reading = asyncio.create_task(self.read_in_time(stream_id, service))
+        try:
+            await asyncio.wait((asking, reading), return_when=asyncio.FIRST_COMPLETED)
+            version = asking.result() if asking.done() else None
+            if version is None:
+                version, is_certain = await reading
+                if not is_certain:
+                    version = await asking or version
+        finally:
+            asking.cancel()
+            reading.cancel()
+        if version is None or not stream_id:
+            return version
+        return self.bind(stream_id, service, version)
+
+    async def read_in_time(
+        self, stream_id: str, service: str
+    ) -> tuple[str | None, bool]:
+        """Return what the store tells within the timeout, as `read_version` does."""
         try:
             async with asyncio.timeout(READ_TIMEOUT_MS / 1000):
                 return await self.read_version(stream_id, service)
         except TimeoutError:
-            return None
+            return None, False
 
-    async def read_version(self, stream_id: str, service: str) -> str | None:
-        """Return the version on which a stream began, by the store as it is now.
+    async def read_version(
+        self, stream_id: str, service: str
+    ) -> tuple[str | None, bool]:
+        """Return the version by the store as it is now, and whether that is certain.
 
-        What this entry VM knows without it may be out of step: another version may have
-        joined, with streams that are stored.
+        It is not certain for a stream without a row while its service has several
+        versions: the entry VM that ran it may not have been able to store it.
         """
         if stream_id:
-            key = row_key(stream_id)
-            page = await self.store.read(
-                key.table, key.part, key.key, next_key(key.key)
-            )
-            if isinstance(page, Err):
-                return None
-            for row in page.ok_value.rows:
-                if row.row_key.key == key.key:
-                    version = row.value.decode("utf-8", "replace")
-                    self.remember(stream_id, version)
-                    return version
+            row = await self.rows.read(stream_id)
+            if isinstance(row, Err):
+                return None, False
+            if row.ok_value is not None:
+                return row.ok_value, True
         if not await self.history.read():
+            return None, False
+        needs_record = self.history.needs_record(service)
+        if not stream_id and needs_record:
+            return None, False
+        return self.history.unrecorded_version(service), not needs_record
+
+    async def answer(self, query: OriginQuery) -> str | None:
+        """Return the version of a stream for another entry VM; None for none."""
+        if known := self.known.get(query.stream_id):
+            return known.software_version
+        if not query.may_read_store:
             return None
-        if not stream_id and self.history.needs_record(service):
-            return None
-        return self.history.unrecorded_version(service)
+        version, _ = await self.read_in_time(query.stream_id, query.service)
+        return version
+
+    def keep(self, origins: Sequence[StreamOrigin]) -> list[StreamOrigin]:
+        """Remember origins for another entry VM; return what is known of them now."""
+        return [
+            StreamOrigin(
+                origin.stream_id,
+                origin.service,
+                self.bind(origin.stream_id, origin.service, origin.software_version),
+            )
+            for origin in origins
+        ]
 
-    async def delete_expired(self) -> None:
-        """Delete the rows of streams that ended long ago, until cancelled."""
+    async def repair(self) -> None:
+        """Forget the streams that can no longer be taken up, until cancelled."""
         while True:
-            await self.clock.sleep_ms(DELETE_INTERVAL_MS)
-            latest_ms = self.clock.monotonic_ms() - RETENTION_MS
-            keys_by_part: dict[str, list[RowKey]] = {}
-            while self.written and self.written[0][0] < latest_ms:
-                _, key = self.written.popleft()
-                keys_by_part.setdefault(key.part, []).append(key)
-            for keys in keys_by_part.values():
-                for first in range(0, len(keys), MAX_ROWS_PER_WRITE):
-                    chunk = keys[first : first + MAX_ROWS_PER_WRITE]
-                    await self.store.transact([], [Put(key, None) for key in chunk])
+            await self.clock.sleep_ms(REPAIR_INTERVAL_MS)
+            self.forget_expired()
+
+    def forget_expired(self) -> None:
+        """Forget the streams that can no longer be taken up."""
+        now = self.clock.monotonic_ms()
+        while self.known:
+            stream_id, known = next(iter(self.known.items()))
+            if now - known.since_ms < STREAM_LIFETIME_MS:
+                return
+            if stream_id not in self.open_streams:
+                del self.known[stream_id]
+                continue
+            known.since_ms = now
+            self.known.move_to_end(stream_id)
+
+
+async def return_none() -> None:
+    """Return None."""
--- a/packages/ebonylb/src/ebonylb/forwarding/streams.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/streams.py
@@ -38,8 +38,12 @@
 MIN_ABANDON_TIMEOUT_MS = 2_000.0
 
 
-class OriginNotStoredError(StepError):
-    """A stream cannot begin on a server although the server is sound."""
+class OtherVersionError(StepError):
+    """A stream cannot begin on a sound server, since it is bound to another version."""
+
+
+class OriginUnknownError(StepError):
+    """A stream cannot begin at all, since nobody else could know its version."""
 
 
 def resolve_server(server: ListedServer, head: ResponseHead) -> ListedServer:
@@ -199,7 +203,7 @@
             log_stream_end(state, last_number, complete=True)
             return
         except StepError as error:
-            if not isinstance(error, OriginNotStoredError):
+            if not isinstance(error, OtherVersionError | OriginUnknownError):
                 condition.record_failure(runs.clock.monotonic_ms())
             logger.warning(
                 "stream broke",
@@ -210,7 +214,7 @@
                     "cause": str(error),
                 },
             )
-            if not state.route.resumable:
+            if not state.route.resumable or isinstance(error, OriginUnknownError):
                 log_stream_end(state, last_number, complete=False)
                 raise
         except (asyncio.CancelledError, GeneratorExit):
--- a/packages/ebonylb/src/ebonylb/relay/entry_vms.py
+++ b/packages/ebonylb/src/ebonylb/relay/entry_vms.py
@@ -138,6 +138,14 @@
 
     def list_helpers(self) -> list[ListedServer]:
         """Return the other entry VMs that reach servers and accept requests."""
+        return [
+            entry_vm
+            for entry_vm in self.list_others()
+            if self.known[entry_vm.name].row.reaches_servers
+        ]
+
+    def list_others(self) -> list[ListedServer]:
+        """Return the other entry VMs, whether they reach servers or not."""
         return [
             ListedServer(
                 name,
@@ -148,7 +156,6 @@
             )
             for name, known in self.known.items()
             if name != self.name
-            and known.row.reaches_servers
             and known.row.relay_address
             and self.store_time.age_ms(known.row.written_ms) <= MAX_ROW_AGE_MS
         ]
--- a/packages/ebonylb/src/ebonylb/relay/relayed_runs.py
+++ b/packages/ebonylb/src/ebonylb/relay/relayed_runs.py
@@ -10,4 +10,6 @@
 
     async def begin_stream(self, state: RequestState, server: ListedServer) -> None:
         """Bind a stream to the software version of its server."""
-        state.software_version = server.software_version
+        state.software_version = self.origins.bind(
+            state.stream_id, state.service, server.software_version
+        )
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -15,6 +15,7 @@
 from ..adapters.connections import StrictConnector
 from ..adapters.http_server import DiscreetServer
 from ..adapters.memory_metrics import InMemoryMetrics
+from ..adapters.origin_http import HttpOriginClient, OriginHandler
 from ..adapters.relay_http import HttpRelayClient, RelayHandler
 from ..customers import KeyChanges
 from ..fleet.selector import Locality
@@ -124,6 +125,7 @@
                 self.server_client,
                 server_session.connector.activity,
                 HttpRelayClient(relay_session, self.held),
+                HttpOriginClient(await self.open_session()),
                 self.clock,
                 self.metrics,
                 await self.open_control_plane(),
@@ -292,6 +294,7 @@
         self.relay_handler = RelayHandler(
             self.components.relay_receiver.serve, self.held
         )
+        self.origin_handler = OriginHandler(self.components.stream_origins)
         for handler, address, max_bytes in (
             (ingress.handle, self.settings.caller_address, MAX_BODY_BYTES),
             (ingress.handle_ready, self.settings.ready_address, MAX_BODY_BYTES),
@@ -322,7 +325,9 @@
             await web.TCPSite(runner, host, int(port), backlog=512).start()
 
     async def handle_relayed(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Respond to a request that another entry VM has passed on."""
+        """Respond to a request of another entry VM."""
+        if self.origin_handler.handles(request):
+            return await self.origin_handler.handle(request)
         self.readiness.in_progress += 1
         try:
             return await self.relay_handler.handle(request)
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -33,6 +33,8 @@
     RequestRuns,
 )
 from ..forwarding.last_requests import LastRequests
+from ..forwarding.origin_peers import OriginPeers
+from ..forwarding.origin_rows import OriginRows
 from ..forwarding.stream_origins import StreamOrigins
 from ..forwarding.strikes import TABLE as STRIKES_TABLE
 from ..forwarding.strikes import CrashStrikes
@@ -151,10 +153,14 @@
         self.version_history = VersionHistory(
             identity.name, dependencies.store, clock, self.store_time, self.directory
         )
+        self.build_entry_vms()
         self.stream_origins = StreamOrigins(
-            dependencies.store, clock, self.directory, self.version_history
+            OriginRows(dependencies.store, clock),
+            OriginPeers(dependencies.origin_client, self.entry_vms.list_others, clock),
+            clock,
+            self.directory,
+            self.version_history,
         )
-        self.build_entry_vms()
         self.admission = AdmissionComponents(
             identity.name, dependencies, self.routes, self.store_time
         )
@@ -437,7 +443,8 @@
             "helper probes": self.helper_probes.run,
             **self.admission.background_tasks(),
             "limits": self.limit_shares.run,
-            "stream origins": self.stream_origins.delete_expired,
+            "stream origins": self.stream_origins.repair,
+            "rows of stream origins": self.stream_origins.rows.delete_expired,
             "version history": self.version_history.run,
             "orders": self.order_controller.run,
             "batches": self.batch_ownership.watch,
--- a/packages/ebonylb/src/ebonylb/service/site_dependencies.py
+++ b/packages/ebonylb/src/ebonylb/service/site_dependencies.py
@@ -8,6 +8,7 @@
 from ..interfaces.relay import RelayClient
 from ..interfaces.row_store import RowStore
 from ..interfaces.server_client import ServerActivity, ServerClient
+from ..interfaces.stream_origins import OriginClient
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,7 +24,9 @@
     server_activity : ServerActivity
         What the connections of `server_client` receive.
     relay_client : RelayClient
-        Other entry VMs.
+        Other entry VMs, to which requests are passed on.
+    origin_client : OriginClient
+        Other entry VMs, with which the origins of streams are shared.
     clock : Clock
         Source of time.
     metrics : Metrics
@@ -36,6 +39,7 @@
     server_client: ServerClient
     server_activity: ServerActivity
     relay_client: RelayClient
+    origin_client: OriginClient
     clock: Clock
     metrics: Metrics
     control_plane: ControlPlane | None = None
--- a/packages/ebonylb/tests/test_software_versions.py
+++ b/packages/ebonylb/tests/test_software_versions.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 
 from ebonylb.fleet import ListedServer, ServerDirectory, ServerStage
-from ebonylb.forwarding.stream_origins import (
+from ebonylb.forwarding.origin_rows import (
     DELETE_INTERVAL_MS,
     RETENTION_MS,
     TABLE,
@@ -325,6 +325,8 @@
     def test_an_entry_vm_out_of_step_joins_no_versions(self, fault, names_stream):
         """It is cut off before servers of a new version join, and knows only the old.
 
+        No other entry VM is in reach.
+
         Nor does it go on with a stream of the version that it knows: it cannot tell
         one from the other.
         """
@@ -335,6 +337,7 @@
             await world.clock.sleep_ms(2_000)
             name, sound = fault[0], getattr(vms[1].store.faults, fault[0])
             setattr(vms[1].store.faults, *fault)
+            vms[1].is_separated = True
             for number in (2, 3, 4):
                 world.add_server(f"p{number}", "desk", 6, "north")
                 world.port.servers[f"p{number}"].software_version = "v2"
@@ -349,6 +352,7 @@
                 assert response.refusal.reason == "unknown_software_version"
                 assert response.refusal.outcome is Outcome.NOT_RUN
             setattr(vms[1].store.faults, name, sound)
+            vms[1].is_separated = False
             vms[1].refresh()
             await world.clock.sleep_ms(2_000)
             for caller in callers:
@@ -405,6 +409,7 @@
             caller = Caller(world, "q")
             await caller.read(vms[0], 10)
             vms[1].store.faults.down = True
+            vms[1].is_separated = True
             response = await caller.read(vms[1])
             assert response.refusal.reason == "unknown_software_version"
             assert response.refusal.outcome is Outcome.NOT_RUN
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -39,6 +39,7 @@
 from ..histories.virtual_time import LoopClock
 from .control_plane import FakeControlPlane, FakeControlPlaneClient
 from .cut_path import CutPath
+from .origin_path import LocalOriginClient
 from .prefill import ChunkedPrefill
 from .recorded_port import RecordedPort
 from .relay_path import LocalRelayClient
@@ -178,7 +179,13 @@
 
 @dataclass
 class EntryVm:
-    """Services of one entry VM; `stop` ends them without an orderly shutdown."""
+    """Services of one entry VM; `stop` ends them without an orderly shutdown.
+
+    Attributes
+    ----------
+    is_separated : bool
+        Whether it exchanges no origins of streams with other entry VMs.
+    """
 
     world: "World"
     name: str
@@ -189,6 +196,7 @@
     path: CutPath = field(init=False)
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
     is_stopped: bool = False
+    is_separated: bool = False
 
     def __post_init__(self) -> None:
         """Build the services, start their tasks and list the servers."""
@@ -207,6 +215,7 @@
                 self.path,
                 self.path.activity,
                 LocalRelayClient(world.vms, world.clock),
+                LocalOriginClient(self, world.clock),
                 self.clock,
                 NullMetrics(),
                 world.control_plane
@@ -226,6 +235,7 @@
         self.reachability, self.entry_vms = duties.reachability, duties.entry_vms
         self.standby = duties.standby
         self.relay_receiver = duties.relay_receiver
+        self.stream_origins = duties.stream_origins
         self.scaling = duties.scaling
         self.registry, self.limits = duties.limit_registry, duties.limit_gate
         self.key_check = duties.key_check
