streams: those that began while the store was down can be taken up

Cause: with no server of the former version, begin() let the stream run without a row, and nothing wrote the row later; for a minute a stream without a row counts as one of the former version. Change: such a stream is bound once another entry VM keeps a copy of its version; repair() writes missing rows when the store is back. With no other entry VM in reach it begins only if the former version is not listed.

--- a/packages/ebonylb/src/ebonylb/forwarding/stream_origins.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/stream_origins.py
@@ -39,6 +39,7 @@
 # A server of the missing version may be back, or the store, after this time.
 REFUSAL_RETRY_AFTER_MS = 1_000
 REPAIR_INTERVAL_MS = 500.0
+MAX_ORIGINS_PER_REPAIR = 500
 
 
 @dataclass(slots=True)
@@ -218,8 +219,6 @@
         may_be_written = stored.err_value.may_have_run
         if not may_be_written and self.directory.has_ready_version(service, unrecorded):
             return Ok(unrecorded)
-        if not may_be_written:
-            return Ok(self.bind(stream_id, service, software_version))
         kept = await self.peers.replicate(
             [StreamOrigin(stream_id, service, software_version)]
         )
@@ -230,6 +229,8 @@
             if isinstance(stored, Ok):
                 return Ok(self.bind(stream_id, service, stored.ok_value))
             return stored
+        if unrecorded not in self.history.listed(service):
+            return Ok(self.bind(stream_id, service, software_version, needs_row=True))
         return stored
 
     async def wait_for_write(
@@ -353,10 +354,20 @@
         ]
 
     async def repair(self) -> None:
-        """Forget the streams that can no longer be taken up, until cancelled."""
+        """Store and replicate what others do not know yet, until cancelled."""
         while True:
             await self.clock.sleep_ms(REPAIR_INTERVAL_MS)
             self.forget_expired()
+            missing = [
+                (stream_id, known)
+                for stream_id, known in self.known.items()
+                if known.needs_row
+            ][:MAX_ORIGINS_PER_REPAIR]
+            if not missing:
+                continue
+            await self.replicate_unknown(missing)
+            if self.can_store():
+                await self.write_rows(missing)
 
     def forget_expired(self) -> None:
         """Forget the streams that can no longer be taken up."""
@@ -371,6 +382,31 @@
             known.since_ms = now
             self.known.move_to_end(stream_id)
 
+    async def write_rows(self, missing: Sequence[tuple[str, KnownOrigin]]) -> None:
+        """Write the rows of streams that could not be written before."""
+        writes = [self.store(stream_id, known) for stream_id, known in missing]
+        outcomes = await asyncio.gather(*writes)
+        if any(isinstance(outcome, Err) for outcome in outcomes):
+            self.failed_ms = self.clock.monotonic_ms()
+
+    async def replicate_unknown(
+        self, origins: Sequence[tuple[str, KnownOrigin]]
+    ) -> None:
+        """Have other entry VMs keep the origins of which none has a copy."""
+        unknown = {
+            stream_id: known for stream_id, known in origins if not known.is_replicated
+        }
+        if not unknown:
+            return
+        kept = await self.peers.replicate(
+            [
+                StreamOrigin(stream_id, known.service, known.software_version)
+                for stream_id, known in unknown.items()
+            ]
+        )
+        for stream_id in kept.keys() & unknown.keys():
+            unknown[stream_id].is_replicated = True
+
 
 async def return_none() -> None:
     """Return None."""
--- a/packages/ebonylb/tests/test_stream_origins.py
+++ b/packages/ebonylb/tests/test_stream_origins.py
@@ -196,6 +196,48 @@
         run_virtual(scenario())
 
 
+class TestRowNeverWritten:
+    # Guards against streams that nobody can take up after an outage of the store.
+    @pytest.mark.parametrize("is_killed", [True, False])
+    def test_streams_of_the_only_version_left_go_on(self, is_killed):
+        """The release has ended, so that the former version has no server."""
+
+        async def scenario():
+            world = make_world(plain_versions=["v1", "v1"])
+            first, second = start(world, "a", "b")
+            await world.clock.sleep_ms(2_000)
+            replace_servers(world, ("p0", "p1"), ("p2", "p3", "p4"), "v2")
+            await world.clock.sleep_ms(3_000)
+            first.store.faults.down = second.store.faults.down = True
+            callers = make_callers(world, 16)
+            await begin_all(callers, first)
+            if is_killed:
+                first.stop()
+            else:
+                await first.leave()
+            assert await take_up_all(callers, second) == len(callers)
+
+        run_virtual(scenario())
+
+    # Guards against origins that are in no row once the store is back.
+    def test_the_row_is_written_once_the_store_is_back(self):
+        async def scenario():
+            world = make_world(plain_versions=["v1", "v1"])
+            (vm,) = start(world, "a")
+            await world.clock.sleep_ms(2_000)
+            replace_servers(world, ("p0", "p1"), ("p2", "p3"), "v2")
+            await world.clock.sleep_ms(1_000)
+            vm.store.faults.down = True
+            callers = make_callers(world, 8)
+            await begin_all(callers, vm)
+            assert not stored_versions(world)
+            vm.store.faults.down = False
+            await world.clock.sleep_ms(2_500)
+            assert stored_versions(world) == {c.request_id: "v2" for c in callers}
+
+        run_virtual(scenario())
+
+
 class TestStoreOutOfReach:
     # Guards against a view that is out of step, where another entry VM knows better.
     @pytest.mark.parametrize(
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -51,6 +51,8 @@
 OPERATOR_TABLE = "op"
 READ_TIMEOUT_MS = 30_000
 REPORT_WINDOW_MS = 5_000.0
+# An entry VM that leaves answers for as long as the balancer may send it callers.
+LEAVE_MS = 2_600.0
 DUTY_CALLS_PER_S = 50.0
 REGIONS = {"north": "gorge", "south": "gorge", "high": "highland"}
 
@@ -264,6 +266,11 @@
         for name in self.world.unlisted:
             self.directory.remove(name)
 
+    async def leave(self) -> None:
+        """End after the time of an orderly shutdown."""
+        await self.world.clock.sleep_ms(LEAVE_MS)
+        self.stop()
+
     def stop(self) -> None:
         """Cancel all tasks at once, as a loss of power does."""
         self.is_stopped = True
