streams: an entry VM that leaves hands their versions over

Callers saw: one software version was ever listed; an entry VM was stopped by SIGTERM while the store was down, and its callers took their streams up at another one: 503 unknown_software_version, 0 of 16 went on. Cause: since only the store tells the version of a stream that the process has not run itself; the process that had run it ended without telling. Change: an entry VM that leaves has up to three others keep each origin that it knows, also those kept for others; a take-up asks other entry VMs beside the store, and three of them to read the store where it does not answer here.

--- a/packages/ebonylb/src/ebonylb/forwarding/stream_origins.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/stream_origins.py
@@ -39,6 +39,7 @@
 # A server of the missing version may be back, or the store, after this time.
 REFUSAL_RETRY_AFTER_MS = 1_000
 REPAIR_INTERVAL_MS = 500.0
+HAND_OVER_INTERVAL_MS = 100.0
 MAX_ORIGINS_PER_REPAIR = 500
 
 
@@ -298,6 +299,8 @@
         finally:
             asking.cancel()
             reading.cancel()
+        if version is None:
+            version = await self.peers.find(OriginQuery(stream_id, service, True))
         if version is None or not stream_id:
             return version
         return self.bind(stream_id, service, version)
@@ -407,6 +410,15 @@
         for stream_id in kept.keys() & unknown.keys():
             unknown[stream_id].is_replicated = True
 
+    async def hand_over(self) -> None:
+        """Have other entry VMs keep all origins known here, until cancelled.
+
+        The process ends soon, and its callers take their streams up elsewhere.
+        """
+        while True:
+            await self.replicate_unknown(list(self.known.items()))
+            await self.clock.sleep_ms(HAND_OVER_INTERVAL_MS)
+
 
 async def return_none() -> None:
     """Return None."""
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -345,6 +345,9 @@
         self.components.relay_receiver.leaving = True
         if self.components.duties is not None:
             self.components.duties.leave()
+        self.tasks.append(
+            asyncio.create_task(self.components.stream_origins.hand_over())
+        )
         limit_ms = self.settings.bounds.grace_ms - EXIT_MARGIN_MS
         self.components.last_requests.begin(
             began_ms + BALANCER_GRACE_MS, began_ms + limit_ms
--- a/packages/ebonylb/tests/test_stream_origins.py
+++ b/packages/ebonylb/tests/test_stream_origins.py
@@ -239,6 +239,53 @@
 
 
 class TestStoreOutOfReach:
+    # Guards against refusals of streams of the only version that was ever listed.
+    @pytest.mark.parametrize("fault", [("down", True), ("silent", True)], ids=str)
+    def test_streams_of_an_entry_vm_that_leaves_go_on(self, fault):
+        async def scenario():
+            world = make_world(plain_versions=["v1", "v1", "v1"])
+            first, second = start(world, "a", "b")
+            await world.clock.sleep_ms(2_000)
+            callers = make_callers(world, 16)
+            await begin_all(callers, first)
+            for vm in (first, second):
+                setattr(vm.store.faults, *fault)
+            await first.leave()
+            assert await take_up_all(callers, second) == len(callers)
+
+        run_virtual(scenario())
+
+    # Guards against origins that are lost when their keepers leave as well.
+    def test_origins_are_handed_on_when_entry_vms_leave_in_turn(self):
+        async def scenario():
+            world = make_world(plain_versions=["v1", "v1", "v1"])
+            vms = start(world, "a", "b", "c", "d", "e")
+            await world.clock.sleep_ms(2_000)
+            callers = make_callers(world, 16)
+            await begin_all(callers, vms[0])
+            for vm in vms:
+                vm.store.faults.down = True
+            for vm in vms[:4]:
+                await vm.leave()
+            assert await take_up_all(callers, vms[4]) == len(callers)
+
+        run_virtual(scenario())
+
+    # Guards against refusals at an entry VM that alone cannot read the store.
+    @pytest.mark.parametrize("names_stream", [True, False])
+    def test_another_entry_vm_reads_the_store(self, names_stream):
+        async def scenario():
+            world = make_world(plain_versions=["v1", "v1", "v1"])
+            first, second, _ = start(world, "a", "b", "c")
+            await world.clock.sleep_ms(2_000)
+            callers = make_callers(world, 8, names_stream=names_stream)
+            await begin_all(callers, first)
+            first.stop()
+            second.store.faults.down = True
+            assert await take_up_all(callers, second) == len(callers)
+
+        run_virtual(scenario())
+
     # Guards against a view that is out of step, where another entry VM knows better.
     @pytest.mark.parametrize(
         "fault", [("down", True), ("silent", True), ("delay_ms", 700.0)], ids=str
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/world.py
@@ -267,8 +267,10 @@
             self.directory.remove(name)
 
     async def leave(self) -> None:
-        """End after the time of an orderly shutdown."""
+        """End after the time of an orderly shutdown that tells others of streams."""
+        handing_over = asyncio.create_task(self.stream_origins.hand_over())
         await self.world.clock.sleep_ms(LEAVE_MS)
+        handing_over.cancel()
         self.stop()
 
     def stop(self) -> None:
--- a/packages/ebonylb_standins/tests/test_site.py
+++ b/packages/ebonylb_standins/tests/test_site.py
@@ -714,6 +714,42 @@
             assert len(new) == cls.EVENTS
             return find_mixed_streams(parts), sum(map(bool, rests))
 
+    @classmethod
+    async def go_on_without_store(cls, first_ip):
+        """Return how many streams of an entry VM that leaves go on at another one.
+
+        One version was ever listed; the store is down from before the SIGTERM on.
+        """
+        async with HttpSite(first_ip=first_ip, entry_vms=3, engines=4, desks=0) as site:
+            await asyncio.sleep(1.0)
+            leaving, other, _ = site.vms.values()
+            begun = await asyncio.gather(
+                *(cls.read_part(site, leaving, f"s{n}", 15) for n in range(16))
+            )
+            site.store.faults.down = True
+            leaving.send_signal(signal.SIGTERM)
+            await wait_until(lambda: not leaving.is_running(), "no end after SIGTERM")
+            rests = await asyncio.gather(
+                *(
+                    cls.read_part(
+                        site,
+                        other,
+                        f"s{n}-1",
+                        cls.EVENTS,
+                        **{"Last-Event-Id": str(begun[n][-1]), "Resumes": f"s{n}"},
+                    )
+                    for n in range(16)
+                )
+            )
+            return sum(
+                first + rest == list(range(1, cls.EVENTS + 1))
+                for first, rest in zip(begun, rests, strict=True)
+            )
+
+    # Guards against refusals although an entry VM in reach knows the version.
+    def test_streams_of_a_leaving_entry_vm_go_on_without_the_store(self):
+        assert asyncio.run(self.go_on_without_store(370)) == 16
+
     def test_restarted_entry_vms_do_not_join_two_versions(self):
         """Guards against streams joined from two versions after all were killed."""
         assert asyncio.run(self.find_mixed_after_restarts(185)) == ({}, 0)
