streams: a version that comes back gets no streams of others

Cause: the row of the service goes on naming v1 as the version of all streams without a row, although others may have begun while it had no server. Before / after: test_a_version_that_comes_back_gets_no_streams_of_others fails on the commit before (take-ups joined), passes now.

--- a/packages/ebonylb/src/ebonylb/forwarding/version_history.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/version_history.py
@@ -63,8 +63,14 @@
         return settled if settled is not None else self.unrecorded
 
     def advance(self, listed: tuple[str, ...], now_ms: float) -> "ServiceVersions":
-        """Return the row once other versions are listed."""
-        return ServiceVersions(listed, now_ms, self.unrecorded_version(now_ms))
+        """Return the row once other versions are listed.
+
+        Streams without a row may have begun on the others while the version of those
+        without a row had no server. Nobody can tell them apart once it is back.
+        """
+        unrecorded = self.unrecorded_version(now_ms)
+        is_back = unrecorded in listed and unrecorded not in self.listed
+        return ServiceVersions(listed, now_ms, None if is_back else unrecorded)
 
 
 def first_row(listed: tuple[str, ...]) -> ServiceVersions:
--- a/packages/ebonylb/tests/test_software_versions.py
+++ b/packages/ebonylb/tests/test_software_versions.py
@@ -524,6 +524,16 @@
         assert row.unrecorded_version(1_000.0) == "v1"
         assert row.unrecorded_version(1_000.0 + STREAM_LIFETIME_MS) == ""
 
+    def test_a_version_that_comes_back_is_not_that_of_streams_without_a_row(self):
+        """Guards against streams of others that began while it had no server."""
+        row = (
+            first_row(("v1",)).advance(("v1", "v2"), 1_000.0).advance(("v2",), 2_000.0)
+        )
+        assert row.unrecorded_version(3_000.0) == "v1"
+        back = row.advance(("v1", "v2"), 3_000.0)
+        assert back.unrecorded_version(3_000.0) is None
+        assert back.advance(("v1",), 4_000.0).unrecorded_version(5_000.0) is None
+
     def test_a_first_listing_does_not_tell_which_version_was_alone(self):
         assert first_row(("v1", "v2")).unrecorded_version(1_000.0) is None
 
--- a/packages/ebonylb/tests/test_stream_origins.py
+++ b/packages/ebonylb/tests/test_stream_origins.py
@@ -333,6 +333,31 @@
 
         run_virtual(scenario())
 
+    # Guards against streams without a row that are taken for those of a version that
+    # has come back.
+    def test_a_version_that_comes_back_gets_no_streams_of_others(self):
+        """The store was down, and the only entry VM that knew the streams is killed."""
+
+        async def scenario():
+            world = make_world(plain_versions=["v1", "v1"])
+            first, second = start(world, "a", "b")
+            await world.clock.sleep_ms(2_000)
+            replace_servers(world, ("p0", "p1"), ("p2", "p3"), "v2")
+            await world.clock.sleep_ms(3_000)
+            first.store.faults.down, first.is_separated = True, True
+            callers = make_callers(world, 8)
+            await begin_all(callers, first)
+            assert versions_of(e for c in callers for e in c.events) == {"v2"}
+            first.stop()
+            replace_servers(world, (), ("p4", "p5", "p6"), "v1")
+            await world.clock.sleep_ms(3_000)
+            for caller in callers:
+                response = await caller.read(second)
+                assert versions_of(caller.events) == {"v2"}
+                assert response.refusal.reason == "unknown_software_version"
+
+        run_virtual(scenario())
+
 
 class TestTakenUpTwice:
     # Guards against two answers to one question.
