batches: thousands of items cost the same each, in short turns of the loop

Cause: each item that began to wait, and each that ended, went through all waiting items, and all items of a job began in one turn of the event loop. The holder wrote nothing meanwhile and was taken for silent. Change: waiting items form lines by what decides their servers, and a pass looks at the first of each line; items start 32 in a turn, with 512 waiting ahead; bodies and rows are decoded in turns; a cancelled item leaves without a search; the garbage collector passes over items and results. The order is that of before (TestGrantOrder compares it with a pass over all waiting items). decode_batch is a coroutine now, so that its tests run it in a loop; test_a_long_run_leaves_a_disturbed_server asks for a state that may not have been made yet.

--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,7 @@
 
 bench: setup
 	$(BIN)/python -m ebonylb_standins.bench --seeds 5 --json bench.json
+	$(BIN)/python -m ebonylb_standins.bench.large_jobs
 
 clean:
 	rm -rf $(VENV)
--- a/packages/ebonylb/src/ebonylb/batches/commits.py
+++ b/packages/ebonylb/src/ebonylb/batches/commits.py
@@ -42,7 +42,7 @@
     stored : StoredProgress
         Progress row that names this entry VM as holder.
     item_states : dict of str to ItemState
-        Unfinished items, which the holder changes.
+        Unfinished items that were started or have events; the holder changes them.
     report_progress : callable
         Called with each progress row that was written or read.
     row_bytes : int
@@ -238,11 +238,9 @@
     def apply_commit(self, stored: StoredProgress) -> None:
         """Update results and progress after a commit that has taken effect."""
         listed = self.attempted_commits.get(stored.progress.token, [])
-        committed_ids = {result.item_id for result in listed}
         self.results.extend(listed)
-        self.pending_results = [
-            r for r in self.pending_results if r.item_id not in committed_ids
-        ]
+        # Each commit takes the first of them, and only its success removes any.
+        del self.pending_results[: len(listed)]
         self.attempted_commits.clear()
         self.stored = stored
         self.report_progress(stored)
--- a/packages/ebonylb/src/ebonylb/batches/customer_order.py
+++ b/packages/ebonylb/src/ebonylb/batches/customer_order.py
@@ -1,14 +1,15 @@
 """Order in which the waiting items of several customers get the slots of engines."""
 
 import heapq
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Iterator, Mapping, Sequence
 from typing import TYPE_CHECKING
 
 from .holder_shares import SlotLimits
+from .waiting_items import Line, Owner
 
 if TYPE_CHECKING:
-    from .placement import ItemRequirements, Waiter
+    from .placement import ItemRequirements
 
 # A customer without a slot in the current window comes after those below their share.
 NO_SLOT_SHARE = 0.5
@@ -16,7 +17,9 @@
 # one with this share; that takes some 110 ms.
 UNKNOWN_SHARE = 1
 
-Owner = tuple[str, str]
+# Stands for all items where there are no customers.
+NO_OWNER: Owner = ("", "")
+QueuedLine = tuple[tuple[int, tuple[float, int]], int, Line]
 
 
 class CustomerOrder:
@@ -53,38 +56,50 @@
         if self.in_progress[owner] <= 0:
             del self.in_progress[owner]
 
-    def arrange(self, waiters: Sequence["Waiter"]) -> Iterator["Waiter"]:
-        """Return all waiters in the order in which slots should be granted.
+    def arrange(self, lines: Sequence[Line]) -> Iterator[Line]:
+        """Yield the line whose first item should be granted a slot next.
 
-        Each grant must be counted before the next waiter is taken. Items of one
-        customer go by priority and then by the order in which they wait. Without
-        customers that order is returned as it is.
+        The consumer takes that item out of the line, and its slot is counted, before
+        the next line is taken; a line whose first item stays is passed over from then
+        on. Items of one customer go by priority and then by the order in which they
+        must start. Without customers, all items go by that order.
         """
-        if not any(waiter.need.customer for waiter in waiters):
-            yield from waiters
-            return
-        by_owner: dict[Owner, list[Waiter]] = {}
-        for waiter in waiters:
-            owner = (waiter.need.service, waiter.need.customer)
-            by_owner.setdefault(owner, []).append(waiter)
-        services = {service for service, _ in by_owner}
+        has_customers = any(line.owner[1] for line in lines)
+        queues: dict[Owner, list[QueuedLine]] = {}
+        for number, line in enumerate(lines):
+            owner = line.owner if has_customers else NO_OWNER
+            queues.setdefault(owner, []).append((line.first().order, number, line))
+        services = {service for service, _ in queues} - {NO_OWNER[0]}
         shares = {s: self.slot_limits.customer_slots(s) for s in services}
-        queues = {
-            owner: deque(sorted(own, key=lambda w: (w.need.priority, w.sort_key)))
-            for owner, own in by_owner.items()
-        }
-        heap = [
-            (self.used_share(owner, shares), queue[0].sort_key, owner)
-            for owner, queue in queues.items()
-        ]
+        heap = []
+        for owner, queue in queues.items():
+            heapq.heapify(queue)
+            heap.append(self.rank(owner, queue, shares))
         heapq.heapify(heap)
         while heap:
             owner = heapq.heappop(heap)[-1]
             queue = queues[owner]
-            yield queue.popleft()
+            _, number, line = queue[0]
+            first = line.first()
+            yield line
+            following = line.first()
+            if following is None or following is first:
+                heapq.heappop(queue)
+            else:
+                heapq.heapreplace(queue, (following.order, number, line))
             if queue:
-                used = self.used_share(owner, shares)
-                heapq.heappush(heap, (used, queue[0].sort_key, owner))
+                heapq.heappush(heap, self.rank(owner, queue, shares))
+
+    def rank(
+        self,
+        owner: Owner,
+        queue: Sequence[QueuedLine],
+        shares: Mapping[str, Mapping[str, int]],
+    ) -> tuple[float, tuple[float, int], Owner]:
+        """Return the sort key of a customer's queue, the next one first."""
+        used = 0.0 if owner == NO_OWNER else self.used_share(owner, shares)
+        _, sort_key = queue[0][0]
+        return used, sort_key, owner
 
     def used_share(
         self, owner: Owner, shares: Mapping[str, Mapping[str, int]]
--- a/packages/ebonylb/src/ebonylb/batches/holder.py
+++ b/packages/ebonylb/src/ebonylb/batches/holder.py
@@ -3,15 +3,17 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from ..interfaces import Clock, Metrics
 from ..routes import Route
 from ..tasks import cancel_and_wait
 from .commits import BatchCommits, CommitOutcome
 from .item_run import ItemRunner
+from .item_starts import ItemStarts
 from .item_state import ItemState
-from .model import Batch, ItemResult, Partial, Progress
+from .model import Batch, BatchItem, ItemResult, Partial, Progress
 from .repository import BatchRepository, StoredProgress
 
 logger = logging.getLogger(__name__)
@@ -50,6 +52,15 @@
         Called with each progress row that the holder has written or read.
     row_bytes : int
         Maximum size of a row's value in bytes.
+
+    Attributes
+    ----------
+    items_by_id : dict of str to BatchItem
+        All items.
+    unstarted : dict of str to BatchItem
+        Items without a result that have not been started, by id.
+    item_states : dict of str to ItemState
+        Items without a result that were started or have events, by id.
     """
 
     def __init__(
@@ -69,7 +80,10 @@
         self.runner = runner
         self.clock = clock
         self.metrics = metrics
-        self.item_states = {item.item_id: ItemState(item) for item in batch.items}
+        self.items_by_id = {item.item_id: item for item in batch.items}
+        self.unstarted = dict(self.items_by_id)
+        self.item_states: dict[str, ItemState] = {}
+        self.starts = ItemStarts(batch.header, route, clock, self.start_item)
         self.commits = BatchCommits(
             stored, self.item_states, repository, metrics, report_progress, row_bytes
         )
@@ -104,10 +118,10 @@
         """Resume from the results and checkpoints that earlier holders have stored."""
         self.commits.results = list(results)
         for result in results:
-            self.item_states.pop(result.item_id, None)
+            self.unstarted.pop(result.item_id, None)
         for item_id, partial in partials.items():
-            if item_id in self.item_states and self.can_use(partial):
-                self.item_states[item_id].restore(partial)
+            if item_id in self.unstarted and self.can_use(partial):
+                self.state_of(item_id).restore(partial)
 
     def reuse_output(
         self, results: tuple[ItemResult, ...], partials: dict[str, Partial]
@@ -118,29 +132,40 @@
         """
         reused_items = 0
         for result in results:
-            state = self.item_states.get(result.item_id)
-            if state and result.succeeded and self.can_use_versions(result.versions):
-                self.reuse_result(state, result)
+            if (
+                result.item_id in self.unstarted
+                and result.succeeded
+                and self.can_use_versions(result.versions)
+            ):
+                self.reuse_result(result)
                 reused_items += 1
         for item_id, partial in partials.items():
-            state = self.item_states.get(item_id)
-            if state and partial.events and self.can_use(partial):
+            if item_id in self.unstarted and partial.events and self.can_use(partial):
+                state = self.state_of(item_id)
                 state.restore(partial)
                 # The new batch has no checkpoint of its own yet.
                 state.mark_stored(0, False)
                 reused_items += 1
         return reused_items
 
-    def reuse_result(self, state: ItemState, result: ItemResult) -> None:
+    def state_of(self, item_id: str) -> ItemState:
+        """Return the state of an item without a result."""
+        state = self.item_states.get(item_id)
+        if state is None:
+            state = self.item_states[item_id] = ItemState(self.unstarted[item_id])
+        return state
+
+    def reuse_result(self, result: ItemResult) -> None:
         """Reuse a result of the previous step, or only its text if its score differs.
 
         A score belongs to one scoring request.
         """
-        scoring = state.item.scoring
+        scoring = self.unstarted[result.item_id].scoring
         if scoring is not None and scoring.request_id != result.scoring_id:
-            state.restore_text(result)
+            self.state_of(result.item_id).restore_text(result)
             return
-        self.item_states.pop(result.item_id)
+        self.unstarted.pop(result.item_id)
+        self.item_states.pop(result.item_id, None)
         self.commits.pending_results.append(result)
 
     def can_use(self, partial: Partial) -> bool:
@@ -158,14 +183,28 @@
         """Run until all results are stored, or the batch is ended, released or lost."""
         # Long items get the free slots first, since they end last.
         longest_first = sorted(
-            self.item_states.values(), key=lambda state: -state.item.length_hint
+            self.unstarted.values(), key=lambda item: -item.length_hint
         )
-        for state in longest_first:
-            self.tasks.add(asyncio.create_task(self.run_item(state)))
+        self.add_task(self.starts.run(longest_first))
         try:
             await self.commit_until_done()
         finally:
-            await cancel_and_wait(self.tasks)
+            await cancel_and_wait(list(self.tasks))
+
+    def add_task(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run a coroutine until it ends or the batch is left."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def start_item(self, item: BatchItem) -> bool:
+        """Start an item; return False if it has a result or the batch is left."""
+        if self.stopping or self.releasing or item.item_id not in self.unstarted:
+            return False
+        state = self.state_of(item.item_id)
+        del self.unstarted[item.item_id]
+        self.add_task(self.run_item(state))
+        return True
 
     async def run_item(self, state: ItemState) -> None:
         """Run one item and hand its result to the next commit.
@@ -173,6 +212,14 @@
         An unexpected exception costs a pause and not the item, without whose result
         the batch would never end.
         """
+        has_waited = False
+
+        def end_wait() -> None:
+            nonlocal has_waited
+            if not has_waited:
+                has_waited = True
+                self.starts.end_wait(state.item)
+
         while True:
             try:
                 result = await self.runner.run(
@@ -181,6 +228,7 @@
                     self.route,
                     self.due_ms,
                     self.abandon_at_ms,
+                    end_wait,
                 )
                 break
             except Exception:
@@ -188,6 +236,7 @@
                 logger.exception("item run failed", extra={"item": item_id})
                 self.metrics.incr("batch.item_errors")
                 await self.clock.sleep_ms(ITEM_RESTART_DELAY_MS)
+        end_wait()
         self.item_states.pop(state.item.item_id, None)
         self.commits.pending_results.append(result)
         self.wake_event.set()
@@ -195,14 +244,14 @@
     def stop(self) -> None:
         """Stop at once, since the batch was ended or has another holder."""
         self.stopping = True
-        for task in self.tasks:
+        for task in list(self.tasks):
             task.cancel()
         self.wake_event.set()
 
     def release(self) -> None:
         """Store results and checkpoints and release the batch to other entry VMs."""
         self.releasing = True
-        for task in self.tasks:
+        for task in list(self.tasks):
             task.cancel()
         self.wake_event.set()
 
--- a/packages/ebonylb/src/ebonylb/batches/item_run.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_run.py
@@ -1,6 +1,7 @@
 """Runner of single items: runs and resumes an item on servers until it has a result."""
 
 import logging
+from collections.abc import Callable
 
 import msgspec
 
@@ -126,16 +127,24 @@
         route: Route,
         due_ms: float,
         abandon_at_ms: float,
+        on_server: Callable[[], None] = lambda: None,
     ) -> ItemResult:
         """Return the result of an item, with a score if the item asks for one.
 
         The slot of the server that generated the text is free while the score is
         waited for.
+
+        Parameters
+        ----------
+        on_server : callable
+            Called each time the item gets a server.
         """
         if state.complete:
             result = state.result()
         else:
-            result = await self.generate(state, header, route, due_ms, abandon_at_ms)
+            result = await self.generate(
+                state, header, route, due_ms, abandon_at_ms, on_server
+            )
         if state.item.scoring is None or not result.succeeded:
             return result
         state.complete = True
@@ -155,6 +164,7 @@
         route: Route,
         due_ms: float,
         abandon_at_ms: float,
+        on_server: Callable[[], None],
     ) -> ItemResult:
         """Run an item on as many servers as needed and return its text.
 
@@ -173,6 +183,7 @@
                 need.avoid = avoid
             queued_ms = self.clock.monotonic_ms()
             server = await self.placement.acquire(need)
+            on_server()
             state.waited_ms += self.clock.monotonic_ms() - queued_ms
             state.attempts += 1
             state.servers.append(server.name)
--- a/packages/ebonylb/src/ebonylb/batches/model.py
+++ b/packages/ebonylb/src/ebonylb/batches/model.py
@@ -1,4 +1,9 @@
-"""Data types of batches: requests submitted together whose results are stored."""
+"""Data types of batches: requests submitted together whose results are stored.
+
+Items and results hold only texts and numbers and are never part of a cycle. The garbage
+collector passes over them (``gc=False``): with tens of thousands of them, each full
+collection would hold up the event loop.
+"""
 
 from dataclasses import dataclass, replace
 from enum import StrEnum
@@ -8,7 +13,7 @@
 from ..interfaces.server_client import Headers
 
 
-class ScoringRequest(msgspec.Struct, frozen=True, array_like=True):
+class ScoringRequest(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Request whose response scores the finished text of an item.
 
     Attributes
@@ -30,7 +35,7 @@
     headers: Headers = ()
 
 
-class BatchItem(msgspec.Struct, frozen=True, array_like=True):
+class BatchItem(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """One request of a batch.
 
     Attributes
@@ -121,7 +126,7 @@
     ERRORED = "errored"
 
 
-class ItemResult(msgspec.Struct, frozen=True, array_like=True):
+class ItemResult(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """Result of an item; immutable once it is stored.
 
     Attributes
--- a/packages/ebonylb/src/ebonylb/batches/placement.py
+++ b/packages/ebonylb/src/ebonylb/batches/placement.py
@@ -1,18 +1,17 @@
 """Queue of items that wait for a server, and the choice of a server for each item."""
 
 import asyncio
-import bisect
-import itertools
 import logging
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from ..fleet import ListedServer, ServerCost, ServerDirectory, ServerSelector
 from ..interfaces import Clock
 from .customer_order import CustomerOrder
 from .holder_shares import NoSlotLimits, SlotLimits
 from .prompt_load import PromptLoad
+from .waiting_items import Criteria, Waiter, WaitingItems
 
 logger = logging.getLogger(__name__)
 
@@ -27,10 +26,10 @@
 # this share of its slots. For a long item, the prompt is a small part of the work.
 GROUP_AFFINITY_BONUS = 0.15
 MAX_REMEMBERED_GROUPS = 4_000
-# An item that has waited this long is sent to a server whose slots others seem to use,
-# and waits in the server's own queue if they do.
-FORCE_AFTER_MS = 2_000
 RETRY_INTERVAL_MS = 50
+# A pass ends after this many choices without a server. Each takes some 50 us, and only
+# long prompts, whose groups have criteria of their own, need as many.
+MAX_VAIN_CHOICES = 200
 
 
 @dataclass(slots=True)
@@ -91,18 +90,6 @@
         )
 
 
-@dataclass(slots=True)
-class Waiter:
-    """An item in the queue; `granted_server` resolves to its server."""
-
-    sort_key: tuple[float, int]
-    need: ItemRequirements
-    queued_ms: float
-    granted_server: asyncio.Future[ListedServer] = field(
-        default_factory=lambda: asyncio.get_running_loop().create_future()
-    )
-
-
 class ItemPlacement:
     """Priority queue that assigns servers to items, the one that must start first.
 
@@ -117,6 +104,12 @@
     slot_limits : SlotLimits or None
         Share of this entry VM in the slots of each server; None if it shares them with
         nobody.
+
+    Attributes
+    ----------
+    put_off : set of Criteria
+        Criteria that no server fitted in a pass that ended early; the next pass passes
+        over them.
     """
 
     def __init__(
@@ -131,13 +124,18 @@
         self.clock = clock
         self.slot_limits = slot_limits or NoSlotLimits()
         self.customer_order = CustomerOrder(self.slot_limits)
-        self.waiters: list[Waiter] = []
-        self.arrival_numbers = itertools.count()
+        self.waiting = WaitingItems()
+        self.put_off: set[Criteria] = set()
         self.group_servers: OrderedDict[str, str] = OrderedDict()
         self.timer: asyncio.TimerHandle | None = None
         self.prompt_load = PromptLoad(clock)
         directory.subscribe(self.grant_servers)
 
+    @property
+    def waiters(self) -> list[Waiter]:
+        """Waiting items in the order in which they must start."""
+        return self.waiting.in_order()
+
     async def acquire(self, need: ItemRequirements) -> ListedServer:
         """Wait for a server and return it; the caller must `release` it.
 
@@ -149,19 +147,30 @@
         except asyncio.CancelledError:
             if waiter.granted_server.done() and not waiter.granted_server.cancelled():
                 self.release(waiter.granted_server.result(), need)
-            elif waiter in self.waiters:
-                self.waiters.remove(waiter)
+            self.waiting.remove(waiter)
             raise
 
     def enqueue(self, need: ItemRequirements) -> Waiter:
-        """Add an item to the queue, and grant it a server at once if one is free."""
+        """Add an item to the queue, and grant it a server at once if one is free.
+
+        No server was free for items with its criteria if any wait already; the next
+        pass, of a release or of the timer, includes it.
+        """
         start_ms = self.latest_start_ms(need, self.selector.median_gap_ms(need.service))
-        sort_key = (start_ms, next(self.arrival_numbers))
+        sort_key = (start_ms, next(self.waiting.arrival_numbers))
         waiter = Waiter(sort_key, need, self.clock.monotonic_ms())
-        bisect.insort(self.waiters, waiter, key=lambda w: w.sort_key)
-        self.grant_servers()
+        if not self.waiting.add(waiter, self.criteria(need)):
+            self.grant_servers()
         return waiter
 
+    def criteria(self, need: ItemRequirements) -> Criteria:
+        """Return what decides which servers may run an item now.
+
+        The prompt of a group is cached on one server only.
+        """
+        group = need.group if self.prompt_load.may_be_long(need) else None
+        return (group, *need.server_criteria())
+
     def latest_start_ms(self, need: ItemRequirements, median_gap_ms: float) -> float:
         """Return the latest time to start, in the order of which items are placed.
 
@@ -183,45 +192,49 @@
     def grant_servers(self) -> None:
         """Assign servers to waiting items in order, customers taking turns.
 
-        Schedules a retry if items remain in the queue.
+        Schedules a retry if items remain in the queue. Its time grows with the number
+        of lines and grants, not with that of the items.
         """
         now = self.clock.monotonic_ms()
-        still_waiting: list[Waiter] = []
+        self.free_from_version(now)
         # Servers only become fuller in this loop: when no server fits an item, none
         # fits the later items with the same criteria.
-        unmet_criteria: set[tuple[object, ...]] = set()
-        for waiter in self.customer_order.arrange(self.waiters):
-            if waiter.granted_server.cancelled():
+        unmet = set(self.put_off)
+        choices = 0
+        for line in self.customer_order.arrange(self.waiting.update(now)):
+            criteria = (line.forced, *line.criteria)
+            if criteria in unmet:
                 continue
-            forced = now - waiter.queued_ms > FORCE_AFTER_MS
-            if self.is_restart_faster(waiter, now):
-                waiter.need.software_version = None
-            # The prompt of a group is cached on one server only.
-            is_long = self.prompt_load.may_be_long(waiter.need)
-            group = waiter.need.group if is_long else None
-            criteria = (forced, group, *waiter.need.server_criteria())
-            server = (
-                None if criteria in unmet_criteria else self.choose(waiter.need, forced)
-            )
-            if server is None:
-                unmet_criteria.add(criteria)
-                still_waiting.append(waiter)
+            waiter = line.first()
+            server = self.choose(waiter.need, line.forced)
+            if server is not None:
+                self.grant(waiter, server)
                 continue
-            self.grant(waiter, server)
-        still_waiting.sort(key=lambda w: w.sort_key)
-        self.waiters = still_waiting
+            unmet.add(criteria)
+            choices += 1
+            if choices >= MAX_VAIN_CHOICES:
+                break
+        # Lines that this pass has not come to are the first ones in the next.
+        self.put_off = unmet if choices >= MAX_VAIN_CHOICES else set()
         if self.selector.limits.in_force:
-            self.selector.limits.record_waiting(
-                Counter(waiter.need.service for waiter in still_waiting)
-            )
-        if still_waiting and self.timer is None:
+            self.selector.limits.record_waiting(Counter(self.waiting.counts))
+        if len(self.waiting) and self.timer is None:
             loop = asyncio.get_running_loop()
             delay_ms = self.prompt_load.retry_ms(RETRY_INTERVAL_MS)
             self.timer = loop.call_later(delay_ms / 1000, self.retry)
 
+    def free_from_version(self, now_ms: float) -> None:
+        """Let items that have waited too long for their software version restart."""
+        for waiter in list(self.waiting.bound.values()):
+            if self.is_restart_faster(waiter, now_ms):
+                self.waiting.remove(waiter)
+                waiter.need.software_version = None
+                self.waiting.add(waiter, self.criteria(waiter.need))
+
     def grant(self, waiter: Waiter, server: ListedServer) -> None:
         """Assign a server to a waiting item."""
         need = waiter.need
+        self.waiting.remove(waiter)
         self.directory.condition(server.name).own_requests += 1
         self.selector.limits.reserve(server)
         self.customer_order.begin(need)
--- a/packages/ebonylb/src/ebonylb/batches/repository.py
+++ b/packages/ebonylb/src/ebonylb/batches/repository.py
@@ -8,7 +8,14 @@
 
 from result import Err, Ok, Result
 
-from ..interfaces.row_store import Applied, Condition, Mismatch, Put, RowKey, RowStore
+from ..interfaces.row_store import (
+    Applied,
+    Condition,
+    Mismatch,
+    Put,
+    RowKey,
+    RowStore,
+)
 from ..outcomes import StepError
 from ..storage.store_time import StoreTime
 from . import rows
@@ -78,7 +85,7 @@
         of a submission that failed before belong to no batch and are overwritten. The
         whole is written again if another submission has overwritten a part meanwhile.
         """
-        parts = self.split_items(batch)
+        parts = await self.split_items(batch)
         for _ in range(MAX_CREATIONS):
             created = await self.try_create(batch, progress, parts)
             if isinstance(created, Err) or created.ok_value or len(parts) == 1:
@@ -95,9 +102,11 @@
         message = "other submissions with this id are under way"
         return Err(StepError("create", batch.header.batch_id, message, False))
 
-    def split_items(self, batch: Batch) -> list[list[Put]]:
+    async def split_items(self, batch: Batch) -> list[list[Put]]:
         """Return the writes of a batch's items in parts, one for each transaction."""
-        puts = rows.encode_items(batch.header.batch_id, batch.items, self.row_bytes)
+        puts = await rows.encode_items(
+            batch.header.batch_id, batch.items, self.row_bytes
+        )
         parts = []
         while sum(len(put.value) for put in puts) > MAX_TRANSACTION_BYTES:
             size, count = 0, 0
@@ -185,14 +194,14 @@
     async def results(
         self, batch_id: str, after: int
     ) -> Result[list[ItemResult], StepError]:
-        """Read the results starting at a position."""
+        """Read all results starting at a position."""
         start, end = rows.key_range(batch_id, f"{after:08d}")
         page = await self.store.read(
             rows.RESULTS_TABLE, rows.partition_of(batch_id), start, end
         )
         if isinstance(page, Err):
             return page
-        return Ok(rows.decode_results(page.ok_value.rows))
+        return Ok(await rows.decode_results(page.ok_value.rows))
 
     async def items(self, batch_id: str) -> Result[tuple[BatchItem, ...], StepError]:
         """Read the items of a batch."""
@@ -202,7 +211,7 @@
         )
         if isinstance(page, Err):
             return page
-        return Ok(rows.decode_items(page.ok_value.rows))
+        return Ok(await rows.decode_items(page.ok_value.rows))
 
     async def partials(self, batch_id: str) -> Result[dict[str, Partial], StepError]:
         """Read the unfinished items of a batch."""
--- a/packages/ebonylb/src/ebonylb/batches/rows.py
+++ b/packages/ebonylb/src/ebonylb/batches/rows.py
@@ -1,5 +1,6 @@
 """Encoding of batches as rows of the store."""
 
+import asyncio
 import zlib
 from collections.abc import Iterable, Sequence
 
@@ -7,6 +8,7 @@
 from xxhash import xxh32_intdigest, xxh64_intdigest
 
 from ..interfaces.row_store import Put, RowKey, StoredRow
+from ..tasks import in_turns
 from .model import BatchItem, ItemResult, Partial, Progress
 
 PROGRESS_TABLE = "batches"
@@ -21,10 +23,17 @@
 COMPRESSION_LEVEL = 1
 # Key suffixes in the items table, in key order.
 HASHES_SUFFIX, ITEMS_SUFFIX = "hashes", "items"
+# First byte of a long list in msgpack.
+ARRAY_32 = b"\xdd"
+# Each takes some milliseconds of one turn of the event loop.
+ITEMS_PER_TURN = 500
+RESULTS_PER_TURN = 500
+DECOMPRESSED_BYTES_PER_TURN = 262_144
 
 encoder = msgspec.msgpack.Encoder()
 progress_decoder = msgspec.msgpack.Decoder(Progress)
-items_decoder = msgspec.msgpack.Decoder(list[BatchItem])
+raw_items_decoder = msgspec.msgpack.Decoder(list[msgspec.Raw])
+item_decoder = msgspec.msgpack.Decoder(BatchItem)
 hashes_decoder = msgspec.msgpack.Decoder(list[int])
 result_decoder = msgspec.msgpack.Decoder(ItemResult)
 
@@ -92,27 +101,52 @@
 
 def join_values(rows: Iterable[StoredRow]) -> list[tuple[str, bytes]]:
     """Return pairs of suffix and value, with the chunks of each value joined."""
-    joined: dict[str, bytes] = {}
+    joined: dict[str, list[bytes]] = {}
     for row in rows:
         suffix = row.row_key.key.partition("/")[2].rpartition(".")[0]
-        joined[suffix] = joined.get(suffix, b"") + row.value
-    return list(joined.items())
+        joined.setdefault(suffix, []).append(row.value)
+    return [(suffix, b"".join(chunks)) for suffix, chunks in joined.items()]
 
 
-def encode_items(
+async def encode_items(
     batch_id: str, items: Sequence[BatchItem], row_bytes: int
 ) -> list[Put]:
     """Return the writes of the items, compressed and split into rows."""
-    value = zlib.compress(encoder.encode(list(items)), COMPRESSION_LEVEL)
+    compressor = zlib.compressobj(COMPRESSION_LEVEL)
+    chunks = [compressor.compress(ARRAY_32 + len(items).to_bytes(4, "big"))]
+    async for some in in_turns(items, ITEMS_PER_TURN):
+        encoded = b"".join(encoder.encode(item) for item in some)
+        chunks.append(compressor.compress(encoded))
+    chunks.append(compressor.flush())
+    value = b"".join(chunks)
     return split_value(ITEMS_TABLE, batch_id, ITEMS_SUFFIX, value, row_bytes)
 
 
-def decode_items(rows: Iterable[StoredRow]) -> tuple[BatchItem, ...]:
+async def decode_items(rows: Iterable[StoredRow]) -> tuple[BatchItem, ...]:
     """Decode the items of a batch; empty without rows."""
     values = join_values(rows)
     if not values:
         return ()
-    return tuple(items_decoder.decode(zlib.decompress(values[0][1])))
+    encoded = await decompress(values[0][1])
+    items: list[BatchItem] = []
+    async for raw_items in in_turns(raw_items_decoder.decode(encoded), ITEMS_PER_TURN):
+        items.extend(map(item_decoder.decode, raw_items))
+    return tuple(items)
+
+
+async def decompress(value: bytes) -> bytes:
+    """Return the decompressed value."""
+    decompressor = zlib.decompressobj()
+    chunks = []
+    while value and not decompressor.eof:
+        chunks.append(decompressor.decompress(value, DECOMPRESSED_BYTES_PER_TURN))
+        value = decompressor.unconsumed_tail
+        if value:
+            await asyncio.sleep(0)
+    chunks.append(decompressor.flush())
+    if not decompressor.eof:
+        raise zlib.error("the compressed items are incomplete")
+    return b"".join(chunks)
 
 
 def item_hash(item_id: str) -> int:
@@ -150,9 +184,12 @@
     )
 
 
-def decode_results(rows: Iterable[StoredRow]) -> list[ItemResult]:
+async def decode_results(rows: Iterable[StoredRow]) -> list[ItemResult]:
     """Decode results, in the order of their positions."""
-    return [result_decoder.decode(value) for _, value in join_values(rows)]
+    results: list[ItemResult] = []
+    async for values in in_turns(join_values(rows), RESULTS_PER_TURN):
+        results.extend(result_decoder.decode(value) for _, value in values)
+    return results
 
 
 def encode_partial(
--- a/packages/ebonylb/src/ebonylb/batches/service.py
+++ b/packages/ebonylb/src/ebonylb/batches/service.py
@@ -200,16 +200,15 @@
         """Return the body of an item."""
         holder = self.ownership.holders.get(batch_id)
         if holder is not None:
-            items = holder.batch.items
-        else:
-            current = await self.find(batch_id)
-            if isinstance(current, Err):
-                return current
-            stored = await self.repository.items(batch_id)
-            if isinstance(stored, Err):
-                return Err(STORE_UNREACHABLE)
-            items = stored.ok_value
-        for item in items:
+            item = holder.items_by_id.get(item_id)
+            return Err(UNKNOWN_BATCH) if item is None else Ok(item.body)
+        current = await self.find(batch_id)
+        if isinstance(current, Err):
+            return current
+        stored = await self.repository.items(batch_id)
+        if isinstance(stored, Err):
+            return Err(STORE_UNREACHABLE)
+        for item in stored.ok_value:
             if item.item_id == item_id:
                 return Ok(item.body)
         return Err(UNKNOWN_BATCH)
--- a/packages/ebonylb/src/ebonylb/platform/batch_wire.py
+++ b/packages/ebonylb/src/ebonylb/platform/batch_wire.py
@@ -7,10 +7,14 @@
 from multidict import CIMultiDict
 
 from ..batches import Batch, BatchHeader, BatchItem, ResultsPage, ScoringRequest
+from ..tasks import in_turns
 from . import wire_names
 from .identity_headers import customer_headers, replace_identity
 from .numbers import parse_count
 
+# Decoding an item takes some 20 us.
+ITEMS_PER_TURN = 100
+
 
 class WireScorer(msgspec.Struct):
     """Request that scores an item's text; `Path` may have a query."""
@@ -43,10 +47,16 @@
     ScorerUrl: WireScorer | None = None
 
 
+item_decoder = msgspec.json.Decoder(WireItem)
+
+
 class WireBatch(msgspec.Struct):
-    """Submitted batch; `MinVersion` is the oldest version that may generate tokens."""
+    """Submitted batch; `MinVersion` is the oldest version that may generate tokens.
+
+    Its items are decoded one by one, since a batch may have tens of thousands.
+    """
 
-    Items: list[WireItem]
+    Items: list[msgspec.Raw]
     Step: int = -1
     Model: str = ""
     MinVersion: int = 0
@@ -89,7 +99,7 @@
     )
 
 
-def decode_batch(
+async def decode_batch(
     body: bytes,
     batch_id: str,
     route: str,
@@ -107,7 +117,12 @@
     """
     try:
         wire = msgspec.json.decode(body, type=WireBatch)
-        items = tuple(decode_item(item, host, customer) for item in wire.Items)
+        items: list[BatchItem] = []
+        async for raw_items in in_turns(wire.Items, ITEMS_PER_TURN):
+            items.extend(
+                decode_item(item_decoder.decode(raw), host, customer)
+                for raw in raw_items
+            )
     except (msgspec.MsgspecError, binascii.Error):
         return None
     if len({item.item_id for item in items}) < len(items):
@@ -123,7 +138,7 @@
         groups_wanted=wire.TargetGroups,
         customer=customer or "",
     )
-    return Batch(header, items)
+    return Batch(header, tuple(items))
 
 
 def encode_results(page: ResultsPage) -> bytes:
--- a/packages/ebonylb/src/ebonylb/platform/ingress.py
+++ b/packages/ebonylb/src/ebonylb/platform/ingress.py
@@ -301,7 +301,7 @@
         if message.method != "POST":
             return web.Response(status=405)
         has_customers = self.key_check.has_customers
-        batch = decode_batch(
+        batch = await decode_batch(
             message.body,
             message.request_id,
             route,
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import functools
+import gc
 import logging
 import signal
 from collections.abc import Callable
@@ -262,7 +263,7 @@
             "configuration.version": components.routes.version,
             "batches.held": len(components.batch_ownership.holders),
             "batches.unfinished_items": sum(unfinished_counts),
-            "batches.items_waiting": len(components.placement.waiters),
+            "batches.items_waiting": len(components.placement.waiting),
             "servers.listed": len(components.directory.servers),
             "servers.cut_off": float(components.reachability.is_cut_off),
             "store.calls": self.store.call_count,
@@ -402,6 +403,10 @@
         loop.add_signal_handler(number, service.stop_requested.set)
     try:
         await service.start()
+        # What the start has made lives as long as the process. Full collections, which
+        # hold up the event loop, need not look at it again.
+        gc.collect()
+        gc.freeze()
         loop.add_signal_handler(signal.SIGHUP, service.reload.signal_received.set)
         await service.stop_requested.wait()
         await service.shutdown()
--- a/packages/ebonylb/src/ebonylb/tasks.py
+++ b/packages/ebonylb/src/ebonylb/tasks.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Sequence
+from typing import TypeVar
 
 logger = logging.getLogger(__name__)
 
+Value = TypeVar("Value")
+
 # Pause before a background task that failed starts again.
 RESTART_DELAY_S = 1.0
 # Wait before a task that has not ended is cancelled again.
@@ -54,3 +57,16 @@
             task.cancel()
         _, pending = await asyncio.wait(pending, timeout=RECANCEL_INTERVAL_S)
     await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def in_turns(
+    values: Sequence[Value], per_turn: int
+) -> AsyncIterator[Sequence[Value]]:
+    """Iterate over slices of a sequence, each in its own turn of the event loop.
+
+    Long work would otherwise hold up everything else on the loop, heartbeats included.
+    """
+    for first in range(0, len(values), per_turn):
+        if first:
+            await asyncio.sleep(0)
+        yield values[first : first + per_turn]
--- a/packages/ebonylb/tests/test_batches.py
+++ b/packages/ebonylb/tests/test_batches.py
@@ -779,7 +779,7 @@
             assert await vm.batches.submit(batch) is None
             while "x" not in vm.ownership.holders:
                 await world.clock.sleep_ms(5)
-            state = vm.ownership.holders["x"].item_states["x-0"]
+            state = vm.ownership.holders["x"].state_of("x-0")
             while len(state.events) < 55:
                 await world.clock.sleep_ms(20)
             disturbed = world.port.servers[state.servers[-1]]
@@ -949,13 +949,13 @@
         async def scenario():
             world = World()
             batch = world.batch("x", [1] * 50)
-            puts = rows.encode_items("x", batch.items, 100)
+            puts = await rows.encode_items("x", batch.items, 100)
             assert len(puts) > 3
             stored = [
                 type("Row", (), {"row_key": put.row_key, "value": put.value})
                 for put in puts
             ]
-            assert rows.decode_items(stored) == batch.items
+            assert await rows.decode_items(stored) == batch.items
 
         run_virtual(scenario())
 
--- a/packages/ebonylb/tests/test_border_fuzz.py
+++ b/packages/ebonylb/tests/test_border_fuzz.py
@@ -88,27 +88,29 @@
     @given(JSON)
     def test_any_body_is_a_batch_or_none(self, value):
         body = json.dumps(value).encode()
-        decode_batch(body, "b", "r", "h", 0)
+        asyncio.run(decode_batch(body, "b", "r", "h", 0))
 
     @given(st.binary(max_size=60))
     def test_any_bytes_are_a_batch_or_none(self, body):
-        decode_batch(body, "b", "r", "h", 0)
+        asyncio.run(decode_batch(body, "b", "r", "h", 0))
 
     @given(NUMBERS)
     def test_any_length_hint_is_accepted(self, text):
         item = ITEM | {"Headers": {"Ebonylb-Length-Hint": text}}
-        batch = decode_batch(json.dumps({"Items": [item]}).encode(), "b", "r", "h", 0)
+        batch = asyncio.run(
+            decode_batch(json.dumps({"Items": [item]}).encode(), "b", "r", "h", 0)
+        )
         assert batch.items[0].length_hint >= 0
 
     @pytest.mark.parametrize("path", ["", "a", "@10.9.9.9:80/", "http://x/", ":1/"])
     def test_a_path_must_not_select_another_server(self, path):
         body = json.dumps({"Items": [ITEM | {"Path": path}]}).encode()
-        assert decode_batch(body, "b", "r", "h", 0) is None
+        assert asyncio.run(decode_batch(body, "b", "r", "h", 0)) is None
 
     def test_items_must_differ(self):
         """A batch with one id twice would never have all of its results."""
         body = json.dumps({"Items": [ITEM, ITEM]}).encode()
-        assert decode_batch(body, "b", "r", "h", 0) is None
+        assert asyncio.run(decode_batch(body, "b", "r", "h", 0)) is None
 
 
 class TestStreams:
--- a/packages/ebonylb/tests/test_customer_requests.py
+++ b/packages/ebonylb/tests/test_customer_requests.py
@@ -198,7 +198,9 @@
             ("", None),
             ("acme", ("Ebonylb-Tenant", "acme")),
         ]:
-            batch = decode_batch(json.dumps(body).encode(), "b", "r", "h", 5, customer)
+            batch = asyncio.run(
+                decode_batch(json.dumps(body).encode(), "b", "r", "h", 5, customer)
+            )
             headers = [h for h in batch.items[0].headers if h[0] != "Host"]
             assert headers == ([expected] if expected else [])
 
--- a/packages/ebonylb/tests/test_platform_adapter.py
+++ b/packages/ebonylb/tests/test_platform_adapter.py
@@ -1,5 +1,6 @@
 """Tests of the platform adapters: decoders, and where the wire format is known."""
 
+import asyncio
 import contextlib
 import json
 import re
@@ -340,7 +341,7 @@
             "Group": "g",
         }
         body = json.dumps({"Step": 2, "Model": "m", "MinVersion": 1, "Items": [item]})
-        batch = decode_batch(body.encode(), "b", "route", "host", 5)
+        batch = asyncio.run(decode_batch(body.encode(), "b", "route", "host", 5))
         assert batch.header.step == 2
         assert batch.items[0].length_hint == 660
         assert ("Host", "host") in batch.items[0].headers
@@ -351,7 +352,7 @@
         scorer = {"Id": "s1", "Host": "h", "Path": "/s/1?a=b", "Body": "q83v"}
         item = {"Id": "i1", "Path": "/a", "ScorerUrl": scorer}
         body = json.dumps({"Items": [item]}).encode()
-        batch = decode_batch(body, "b", "route", "host", 5)
+        batch = asyncio.run(decode_batch(body, "b", "route", "host", 5))
         assert batch.items[0].scoring == ScoringRequest(
             "s1", "h", "/s/1?a=b", b"\xab\xcd\xef"
         )
@@ -370,7 +371,7 @@
     @pytest.mark.parametrize("body", [b"", b"{}", b'{"Items":[{"Id":1}]}', b"\xff"])
     def test_malformed_batch_is_none(self, body):
         """Guards against a malformed body that raises or is accepted as a batch."""
-        assert decode_batch(body, "b", "route", "host", 5) is None
+        assert asyncio.run(decode_batch(body, "b", "route", "host", 5)) is None
 
 
 class TestSettings:
--- a/packages/ebonylb/tests/test_prompt_load.py
+++ b/packages/ebonylb/tests/test_prompt_load.py
@@ -258,6 +258,7 @@
         older = OlderItem("i", "/", (), b"", "m", "g", 9, 4)
         newer = BatchItem("i", "/", (), b"", "m", "g", 9, 4, None, 5)
         old_row, new_row = rows.encoder.encode([older]), rows.encoder.encode([newer])
-        (decoded,) = rows.items_decoder.decode(old_row)
+        (raw,) = rows.raw_items_decoder.decode(old_row)
+        decoded = rows.item_decoder.decode(raw)
         assert (decoded.length_hint, decoded.prompt_tokens) == (4, 0)
         assert msgspec.msgpack.decode(new_row, type=list[OlderItem]) == [older]
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/row_store.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/row_store.py
@@ -26,6 +26,7 @@
 CALL_TIMEOUT_MS = 1_500.0
 FEED_TIMEOUT_MARGIN_MS = 800.0
 PAGE_ROWS = 500  # most rows of one response
+PAGE_BYTES = 700_000  # most bytes of their values, which grow by a third in JSON
 STORE_CLOCK_OFFSET_MS = 5_000_000.0
 
 
@@ -68,6 +69,7 @@
 
     def __init__(self) -> None:
         self.rows: dict[RowKey, StoredRow] = {}
+        self.keys: dict[tuple[str, str], list[str]] = {}
         self.log: list[StoredRow] = []
         self.version = 0
         self.history_start_version = 0
@@ -90,6 +92,7 @@
             deleted = put.value is None
             row = StoredRow(put.row_key, put.value or b"", self.version, deleted)
             self.log.append(row)
+            self.index(put.row_key, deleted)
             if deleted:
                 self.rows.pop(put.row_key, None)
             else:
@@ -98,6 +101,26 @@
         self.changed = asyncio.Event()
         return Applied(self.version, 0.0)
 
+    def index(self, row_key: RowKey, deleted: bool) -> None:
+        """Keep the keys of a partition sorted, before a row is written or deleted."""
+        keys = self.keys.setdefault((row_key.table, row_key.part), [])
+        if deleted == (row_key in self.rows):
+            if deleted:
+                del keys[bisect.bisect_left(keys, row_key.key)]
+            else:
+                bisect.insort(keys, row_key.key)
+
+    def find_rows(
+        self, table: str, part: str, start: str, end: str, limit: int | None = None
+    ) -> list[StoredRow]:
+        """Return the rows of a key range in order, up to a limit."""
+        keys = self.keys.get((table, part), [])
+        first = bisect.bisect_left(keys, start)
+        last = bisect.bisect_left(keys, end) if end else len(keys)
+        if limit is not None:
+            last = min(last, first + limit)
+        return [self.rows[RowKey(table, part, key)] for key in keys[first:last]]
+
     def drop_history(self) -> None:
         """Drop all changes so far; a feed that starts before them fails."""
         self.history_start_version = self.version
@@ -179,30 +202,30 @@
             return self.call_error(False)
         if part in self.data.failing_parts:
             return self.call_error(False)
-        rows = [
-            row
-            for at, row in self.data.rows.items()
-            if (at.table, at.part) == (table, part)
-            and at.key >= start
-            and (not end or at.key < end)
-        ]
-        rows.sort(key=lambda row: row.row_key.key)
+        rows = self.data.find_rows(table, part, start, end)
         return Ok(Page(tuple(rows), self.data.version, store_ms=self.store_ms()))
 
     async def read_page(
         self, table: str, part: str = "", start: str = "", end: str = ""
     ) -> Result[Page, StepError]:
         """Return the first rows of a key range of one partition."""
-        response = await self.read(table, part, start, end)
-        if isinstance(response, Err):
-            return response
-        page = response.ok_value
+        if await self.fails_after_delay(CALL_TIMEOUT_MS):
+            return self.call_error(False)
+        if part in self.data.failing_parts:
+            return self.call_error(False)
+        rows = self.data.find_rows(table, part, start, end, PAGE_ROWS + 1)
+        count, size = 0, 0
+        for row in rows[:PAGE_ROWS]:
+            size += len(row.value)
+            if count and size > PAGE_BYTES:
+                break
+            count += 1
         return Ok(
             Page(
-                page.rows[:PAGE_ROWS],
-                page.version,
-                len(page.rows) > PAGE_ROWS,
-                page.store_ms,
+                tuple(rows[:count]),
+                self.data.version,
+                count < len(rows),
+                self.store_ms(),
             )
         )
 
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
@@ -66,6 +66,8 @@
         Limit that all its responses name; None for none.
     prefill : ChunkedPrefill or None
         Processes prompts; None for an engine whose prompts take no time.
+    event_interval_ms : float
+        Time between two events.
     """
 
     name: str
@@ -86,6 +88,7 @@
     software_version: str = "v1"
     limit_per_s: float | None = None
     prefill: ChunkedPrefill | None = None
+    event_interval_ms: float = EVENT_INTERVAL_MS
 
 
 @dataclass
@@ -182,7 +185,7 @@
 
     async def generate_event(self) -> None:
         """Wait until the engine has generated the tokens of an event."""
-        duration_ms = EVENT_INTERVAL_MS * self.server.slowdown
+        duration_ms = self.server.event_interval_ms * self.server.slowdown
         if self.server.prefill is None:
             await self.port.clock.sleep_ms(duration_ms)
         else:
@@ -210,7 +213,9 @@
     Attributes
     ----------
     planned_responses : dict of str to PlannedResponse
-        Responses by request id; other requests get a plain response.
+        Responses by request id.
+    default_response : PlannedResponse
+        Response to other requests, a plain one unless it is replaced.
     models : dict of str to str
         Models by request id; other requests are for model ``"m"``.
     report_count : int
@@ -225,6 +230,7 @@
         self.clock = clock
         self.servers: dict[str, FakeServer] = {}
         self.planned_responses: dict[str, PlannedResponse] = {}
+        self.default_response = PlannedResponse()
         self.models: dict[str, str] = {}
         self.report_count = 0
         self.started_at_ms: dict[str, float] = {}
@@ -258,7 +264,7 @@
         target.received_requests.append(request)
         if target.mode == "dark":
             await self.clock.sleep_ms(3_600_000)
-        planned = self.planned_responses.get(request.request_id, PlannedResponse())
+        planned = self.planned_responses.get(request.request_id, self.default_response)
         model = self.model_of(request)
         if target.queues and planned.events:
             await self.wait_for_slot(target, request)
