batches: hashes of items fit into rows, and a page reads what it returns

Callers would see: a job of over 13,107 items is never accepted; a job that is listed at an entry VM that does not hold it takes time by the square of its results. Cause: the hashes of all items were one row, of 150,003 bytes for 30,000 items where the store takes 65,536; and a page of results was cut out of all further results, read and decoded each time. Change: as many rows of hashes as needed, the first under the key of before; a page reads one response of the store and ends with a whole result. Before / after: TestRows of test_large_batches.py: 150,003 bytes and a missing method on, passes now; listing 4,000 results reads under 4,800 rows.

--- a/packages/ebonylb/src/ebonylb/batches/repository.py
+++ b/packages/ebonylb/src/ebonylb/batches/repository.py
@@ -15,6 +15,8 @@
     Put,
     RowKey,
     RowStore,
+    StoredRow,
+    next_key,
 )
 from ..outcomes import StepError
 from ..storage.store_time import StoreTime
@@ -140,7 +142,7 @@
             own_parts.append(Condition(part[0].row_key, sent.ok_value.version))
         puts = [
             *parts[-1],
-            rows.encode_item_hashes(batch_id, batch.items),
+            *rows.encode_item_hashes(batch_id, batch.items, self.row_bytes),
             rows.encode_progress(progress),
         ]
         return await self.commit(0, progress, puts, own_parts)
@@ -203,6 +205,30 @@
             return page
         return Ok(await rows.decode_results(page.ok_value.rows))
 
+    async def next_results(
+        self, batch_id: str, after: int
+    ) -> Result[list[ItemResult], StepError]:
+        """Read some results starting at a position, as many as one response holds.
+
+        At least one, if there is any.
+        """
+        start, end = rows.key_range(batch_id, f"{after:08d}")
+        partition = rows.partition_of(batch_id)
+        read: list[StoredRow] = []
+        while True:
+            page = await self.store.read_page(rows.RESULTS_TABLE, partition, start, end)
+            if isinstance(page, Err):
+                return page
+            read.extend(page.ok_value.rows)
+            whole = read
+            if page.ok_value.has_more and read:
+                # The last result may continue in rows that the response left out.
+                last = rows.value_of(read[-1])
+                whole = [row for row in read if rows.value_of(row) != last]
+                start = next_key(read[-1].row_key.key)
+            if whole or not page.ok_value.has_more:
+                return Ok(await rows.decode_results(whole))
+
     async def items(self, batch_id: str) -> Result[tuple[BatchItem, ...], StepError]:
         """Read the items of a batch."""
         start, end = rows.key_range(batch_id, rows.ITEMS_SUFFIX)
--- a/packages/ebonylb/src/ebonylb/batches/rows.py
+++ b/packages/ebonylb/src/ebonylb/batches/rows.py
@@ -23,7 +23,8 @@
 COMPRESSION_LEVEL = 1
 # Key suffixes in the items table, in key order.
 HASHES_SUFFIX, ITEMS_SUFFIX = "hashes", "items"
-# First byte of a long list in msgpack.
+# Most bytes of a 32-bit number in msgpack, and the first byte of a long list.
+HASH_BYTES = 5
 ARRAY_32 = b"\xdd"
 # Each takes some milliseconds of one turn of the event loop.
 ITEMS_PER_TURN = 500
@@ -99,12 +100,16 @@
     ]
 
 
+def value_of(row: StoredRow) -> str:
+    """Return the suffix of the value to which a row belongs."""
+    return row.row_key.key.partition("/")[2].rpartition(".")[0]
+
+
 def join_values(rows: Iterable[StoredRow]) -> list[tuple[str, bytes]]:
     """Return pairs of suffix and value, with the chunks of each value joined."""
     joined: dict[str, list[bytes]] = {}
     for row in rows:
-        suffix = row.row_key.key.partition("/")[2].rpartition(".")[0]
-        joined.setdefault(suffix, []).append(row.value)
+        joined.setdefault(value_of(row), []).append(row.value)
     return [(suffix, b"".join(chunks)) for suffix, chunks in joined.items()]
 
 
@@ -154,16 +159,28 @@
     return xxh32_intdigest(item_id.encode())
 
 
-def encode_item_hashes(batch_id: str, items: Sequence[BatchItem]) -> Put:
-    """Return the write of the row with the hashes of a batch's items.
+def encode_item_hashes(
+    batch_id: str, items: Sequence[BatchItem], row_bytes: int
+) -> list[Put]:
+    """Return the writes of the rows with the hashes of a batch's items.
 
-    A later batch may contain some of the items again. This row shows which at a
+    A later batch may contain some of the items again. These rows show which at a
     hundredth of the size of their stored data.
     """
+    per_row = max(1, int(row_bytes * MAX_ROW_FILL) // HASH_BYTES)
     hashes = [item_hash(item.item_id) for item in items]
-    return Put(
-        batch_row_key(ITEMS_TABLE, batch_id, HASHES_SUFFIX), encoder.encode(hashes)
-    )
+    return [
+        Put(
+            batch_row_key(ITEMS_TABLE, batch_id, hashes_suffix(number)),
+            encoder.encode(hashes[first : first + per_row]),
+        )
+        for number, first in enumerate(range(0, max(1, len(hashes)), per_row))
+    ]
+
+
+def hashes_suffix(number: int) -> str:
+    """Return the key suffix of a row of hashes."""
+    return f"{HASHES_SUFFIX}.{number:04d}" if number else HASHES_SUFFIX
 
 
 def decode_item_hashes(rows: Iterable[StoredRow]) -> frozenset[int]:
--- a/packages/ebonylb/src/ebonylb/batches/service.py
+++ b/packages/ebonylb/src/ebonylb/batches/service.py
@@ -184,7 +184,7 @@
         if holder is not None and len(holder.results) > after:
             results = holder.results[after:]
         else:
-            stored = await self.repository.results(batch_id, after)
+            stored = await self.repository.next_results(batch_id, after)
             if isinstance(stored, Err):
                 return Err(STORE_UNREACHABLE)
             results = stored.ok_value
--- a/packages/ebonylb/tests/test_large_batches.py
+++ b/packages/ebonylb/tests/test_large_batches.py
@@ -14,6 +14,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ebonylb.batches import ItemResult, rows
 from ebonylb.batches.customer_order import CustomerOrder
 from ebonylb.batches.holder_shares import NoSlotLimits
 from ebonylb.batches.item_starts import ITEMS_PER_TURN, MAX_WAITING
@@ -23,6 +24,7 @@
 from ebonylb.routes import Target
 from ebonylb.tasks import in_turns
 from ebonylb_standins.histories.virtual_time import run_virtual
+from ebonylb_standins.site.row_store import MemoryRowStore
 from ebonylb_standins.site.servers import PlannedResponse
 from ebonylb_standins.site.world import World, configuration, read_all
 
@@ -307,6 +309,86 @@
         run_virtual(scenario())
 
 
+class TestRows:
+    # Guards against a row that is larger than the store takes.
+    def test_all_rows_of_a_large_batch_fit(self):
+        async def scenario():
+            world = World()
+            batch = world.batch("x", [1] * 30_000)
+            hashes = rows.encode_item_hashes("x", batch.items, ROW_BYTES)
+            items = await rows.encode_items("x", batch.items, ROW_BYTES)
+            assert max(len(put.value) for put in [*hashes, *items]) <= ROW_BYTES
+            world.data.apply([], [*hashes, *items])
+            vm = world.start("a")
+            stored = await vm.ownership.repository.item_hashes("x")
+            assert stored.ok_value == {rows.item_hash(i.item_id) for i in batch.items}
+            assert (await vm.ownership.repository.items("x")).ok_value == batch.items
+
+        run_virtual(scenario())
+
+    # Guards against a page of results for which all further ones are read.
+    def test_listing_reads_each_result_about_once(self):
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            total = 4_000
+            for first in range(0, total, 40):
+                puts = [
+                    put
+                    for n in range(first, first + 40)
+                    for put in rows.encode_result(
+                        "x", n, ItemResult(f"i{n}", True, "t" * 900), ROW_BYTES
+                    )
+                ]
+                world.data.apply([], puts)
+            read_rows = count_read_rows(vm.store)
+            position = 0
+            while position < total:
+                page = await vm.ownership.repository.next_results("x", position)
+                results = page.ok_value
+                assert [r.item_id for r in results] == [
+                    f"i{position + n}" for n in range(len(results))
+                ]
+                position += len(results)
+            assert read_rows[0] < 1.2 * total
+
+        run_virtual(scenario())
+
+    @pytest.mark.parametrize("size", [10, 60_000, 200_000, 1_500_000])
+    def test_a_page_ends_with_a_whole_result(self, size):
+        """Guards against a result whose rows go beyond a response of the store."""
+
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            texts = [str(n) * size for n in range(8)]
+            for n, text in enumerate(texts):
+                result = ItemResult(f"i{n}", True, text)
+                world.data.apply([], rows.encode_result("x", n, result, ROW_BYTES))
+            read = []
+            while len(read) < len(texts):
+                page = await vm.ownership.repository.next_results("x", len(read))
+                assert page.ok_value
+                read += page.ok_value
+            assert [result.text for result in read] == texts
+
+        run_virtual(scenario())
+
+
+def count_read_rows(store: MemoryRowStore) -> list[int]:
+    """Count the rows that a store returns from now on."""
+    counts = [0]
+    find_rows = store.data.find_rows
+
+    def counted(*arguments):
+        found = find_rows(*arguments)
+        counts[0] += len(found)
+        return found
+
+    store.data.find_rows = counted
+    return counts
+
+
 class TestDecoding:
     # Guards against a submission whose reading holds up everything else.
     def test_other_work_runs_beside_the_decoding_of_a_batch(self):
