batches: each event's weight version is checked, and the whole text's

Cause: the weight version was checked in the head of an answer only; a version that changed in the middle of the run became part of the text. Ruled out: orders that keep runs although such a route is known; a change of weights without any order gives the same result in the test. Change: each event is checked before it becomes part of the text, against the text's own version on such a route and against MinVersion on all; the text goes on at another server of its version, or begins anew. A finished text is checked once more before it is a result or scored, also resumed, moved and reused ones. An event of the same version as the one before costs one comparison.

--- a/packages/ebonylb/src/ebonylb/batches/holder.py
+++ b/packages/ebonylb/src/ebonylb/batches/holder.py
@@ -13,7 +13,14 @@
 from .item_run import ItemRunner
 from .item_starts import ItemStarts
 from .item_state import ItemState
-from .model import Batch, BatchItem, ItemResult, Partial, Progress
+from .model import (
+    Batch,
+    BatchItem,
+    ItemResult,
+    Partial,
+    Progress,
+    are_versions_allowed,
+)
 from .repository import BatchRepository, StoredProgress
 
 logger = logging.getLogger(__name__)
@@ -174,10 +181,9 @@
 
     def can_use_versions(self, versions: tuple[int, ...]) -> bool:
         """Return whether the batch may contain text of these weight versions."""
-        distinct = set(versions)
-        if self.route.single_version and len(distinct) > 1:
-            return False
-        return all(version >= self.batch.header.min_version for version in distinct)
+        return are_versions_allowed(
+            versions, self.batch.header.min_version, self.route.single_version
+        )
 
     async def run(self) -> None:
         """Run until all results are stored, or the batch is ended, released or lost."""
--- a/packages/ebonylb/src/ebonylb/batches/item_attempt.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_attempt.py
@@ -17,6 +17,7 @@
 from ..routes import Route
 from .item_state import ItemState
 from .lengths import LengthEstimate
+from .model import are_versions_allowed, distinct_versions
 from .move_policy import MovePolicy
 from .placement import ItemPlacement, ItemRequirements
 from .silence import RunMovedError, RunSilence
@@ -43,6 +44,10 @@
     """No further attempt may give the item a result."""
 
 
+class WeightsChangedError(Exception):
+    """A sound server goes on with weights that the text must not have."""
+
+
 class ItemAttempts:
     """Opens runs of items on servers, reads their events and checks both.
 
@@ -93,6 +98,8 @@
             If the item cannot have a result.
         StepError
             If the run broke.
+        WeightsChangedError
+            If the server goes on with weights that the text must not have.
         RunMovedError
             If the server is too slow and another one would be faster.
         """
@@ -112,7 +119,7 @@
             self.check_version(server, state, need, head.weight_version, route)
             async with silence.limit("item.stall"):
                 await self.read_events(
-                    server, state, need, response, head.weight_version, silence
+                    server, state, need, response, head.weight_version, silence, route
                 )
             self.directory.condition(server.name).record_success(
                 self.clock.monotonic_ms()
@@ -235,6 +242,43 @@
             },
         )
 
+    def check_event_version(
+        self,
+        server: ListedServer,
+        state: ItemState,
+        need: ItemRequirements,
+        version: int,
+        route: Route,
+    ) -> None:
+        """Check the weight version of an event before it becomes part of the text.
+
+        The head names the version with which a run begins. An order that keeps runs may
+        be carried out later, whatever is ordered for the route by then.
+
+        Raises
+        ------
+        WeightsChangedError
+            The text must not have an event of this version.
+        """
+        if not need.model or (state.versions and version == state.versions[-1]):
+            return
+        if are_versions_allowed(
+            (*state.versions[:1], version), need.min_version, route.single_version
+        ):
+            return
+        self.metrics.incr("batch.weights_changed")
+        logger.info(
+            "weights changed during the run of an item",
+            extra={
+                "item": state.item.item_id,
+                "server": server.name,
+                "events": len(state.events),
+                "version": version,
+                "versions": distinct_versions(state.versions),
+            },
+        )
+        raise WeightsChangedError
+
     def check_version(
         self,
         server: ListedServer,
@@ -274,6 +318,7 @@
         response: ServerResponse,
         version: int | None,
         silence: RunSilence,
+        route: Route,
     ) -> None:
         """Append the events of a run to the item's state until the stream ends.
 
@@ -281,6 +326,8 @@
         ------
         StepError
             If the stream breaks, an event is out of order or has no weight version.
+        WeightsChangedError
+            If the text must not have an event of its weight version.
         RunMovedError
             If the server is too slow and another one would be faster.
         """
@@ -301,6 +348,7 @@
                 raise StepError(
                     "item.version", server.name, "event has no weight version"
                 )
+            self.check_event_version(server, state, need, version or 0, route)
             state.add_event(event.data, version or 0, server.software_version)
             need.software_version = state.software_version
             if not silence.has_events:
--- a/packages/ebonylb/src/ebonylb/batches/item_run.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_run.py
@@ -10,10 +10,10 @@
 from ..interfaces.server_client import ServerClient
 from ..outcomes import StepError
 from ..routes import Route, choose_target
-from .item_attempt import ItemAttempts, ItemFailedError
+from .item_attempt import ItemAttempts, ItemFailedError, WeightsChangedError
 from .item_state import ItemState
 from .lengths import LengthEstimate
-from .model import BatchHeader, ItemResult
+from .model import BatchHeader, ItemResult, are_versions_allowed
 from .move_policy import MovePolicy
 from .placement import ItemPlacement, ItemRequirements
 from .scoring import ItemScorer
@@ -139,6 +139,8 @@
         on_server : callable
             Called each time the item gets a server.
         """
+        if state.complete and not self.has_allowed_versions(state, header, route):
+            self.restart(state, "its text has weight versions that are not allowed")
         if state.complete:
             result = state.result()
         else:
@@ -199,6 +201,9 @@
             except RunMovedError:
                 avoid = server.name
                 continue
+            except WeightsChangedError:
+                avoid = None
+                continue
             except StepError as error:
                 avoid = server.name
                 self.record_broken_run(server, state, error)
@@ -283,6 +288,8 @@
         ------
         StepError
             If the run broke.
+        WeightsChangedError
+            If the server goes on with weights that the text must not have.
         RunMovedError
             If the server is too slow and another one would be faster.
         """
@@ -292,4 +299,18 @@
             completed = await self.attempts.run(server, state, need, route)
         except ItemFailedError as error:
             return self.abandon(state, str(error))
-        return state.result() if completed else None
+        if not completed:
+            return None
+        if not self.has_allowed_versions(state, header, route):
+            self.restart(state, "its text has weight versions that are not allowed")
+            return None
+        return state.result()
+
+    def has_allowed_versions(
+        self, state: ItemState, header: BatchHeader, route: Route
+    ) -> bool:
+        """Return whether a finished text has only weight versions that it may have."""
+        versions = (
+            state.finished_text.versions if state.finished_text else state.versions
+        )
+        return are_versions_allowed(versions, header.min_version, route.single_version)
--- a/packages/ebonylb/src/ebonylb/batches/item_state.py
+++ b/packages/ebonylb/src/ebonylb/batches/item_state.py
@@ -66,7 +66,9 @@
         self.complete = True
 
     def restart(self) -> None:
-        """Discard all received events."""
+        """Discard the text."""
+        self.complete = self.stored_complete = False
+        self.finished_text = None
         self.events.clear()
         self.versions.clear()
         self.software_versions.clear()
--- a/packages/ebonylb/src/ebonylb/batches/model.py
+++ b/packages/ebonylb/src/ebonylb/batches/model.py
@@ -5,6 +5,7 @@
 collection would hold up the event loop.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
@@ -228,6 +229,24 @@
         )
 
 
+def are_versions_allowed(
+    versions: Iterable[int], min_version: int, single_version: bool
+) -> bool:
+    """Return whether a text may have been made by these weight versions.
+
+    Parameters
+    ----------
+    min_version : int
+        Oldest version that the batch allows.
+    single_version : bool
+        Whether the route allows only one version in a text.
+    """
+    distinct = set(versions)
+    if single_version and len(distinct) > 1:
+        return False
+    return all(version >= min_version for version in distinct)
+
+
 def distinct_versions(versions: tuple[int, ...] | list[int]) -> tuple[int, ...]:
     """Return the distinct versions in the order of their first event."""
     return tuple(dict.fromkeys(versions))
