tables: a row that cannot be read costs itself alone

Cause: the decoder raises RecursionError, which no reader of rows expected; the task that follows the table ended, and failed at the same row at each start. Each reader had its own list of errors. Change: storage/unreadable.py is the one owner of what a failed decoder means, for every followed table and the other readers of rows; a row on which a reader fails nevertheless is left out by the follower; rows of a batch that cannot be read cost the calls that need them.

--- a/packages/ebonylb/src/ebonylb/admission/load_rows.py
+++ b/packages/ebonylb/src/ebonylb/admission/load_rows.py
@@ -115,13 +115,8 @@
             if stored.deleted:
                 self.stored.pop(name, None)
                 continue
-            try:
-                row = row_decoder.decode(stored.value)
-            except msgspec.MsgspecError as error:
-                logger.error(
-                    "load of customers cannot be decoded",
-                    extra={"key": name, "cause": str(error)},
-                )
+            row = self.unreadable.decode(stored, row_decoder.decode)
+            if row is None:
                 row = LoadRow(0.0, {})
             self.record(name, row, stored.version)
 
--- a/packages/ebonylb/src/ebonylb/batches/progress_view.py
+++ b/packages/ebonylb/src/ebonylb/batches/progress_view.py
@@ -1,12 +1,10 @@
 """Local view of the progress of all batches, kept current by a table follower."""
 
 import asyncio
-import logging
+import functools
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-import msgspec
-
 from ..interfaces import Clock
 from ..interfaces.row_store import StoredRow
 from ..storage.follower import TableReader
@@ -15,8 +13,6 @@
 from .model import Progress
 from .repository import StoredProgress
 
-logger = logging.getLogger(__name__)
-
 
 @dataclass(slots=True)
 class ObservedProgress:
@@ -95,14 +91,12 @@
         for row in stored_rows:
             if row.deleted:
                 self.remove(row.row_key.key)
+                self.unreadable.forget(row.row_key.key)
                 continue
-            try:
-                progress = rows.decode_progress(row)
-            except msgspec.MsgspecError as error:
-                logger.error(
-                    "progress row cannot be decoded",
-                    extra={"batch": row.row_key.key, "cause": str(error)},
-                )
+            progress = self.unreadable.read(
+                row, functools.partial(rows.decode_progress, row)
+            )
+            if progress is None:
                 continue
             self.record(StoredProgress(progress, row.version))
 
--- a/packages/ebonylb/src/ebonylb/batches/repository.py
+++ b/packages/ebonylb/src/ebonylb/batches/repository.py
@@ -1,10 +1,13 @@
 """Repository of batches in the platform's store."""
 
 import asyncio
+import functools
 import logging
 import random
-from collections.abc import Sequence
+import zlib
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
+from typing import ParamSpec, TypeVar
 
 from result import Err, Ok, Result
 
@@ -18,13 +21,16 @@
     StoredRow,
     next_key,
 )
-from ..outcomes import StepError
+from ..outcomes import DECODING_ERRORS, StepError
 from ..storage.store_time import StoreTime
 from . import rows
 from .model import Batch, BatchItem, ItemResult, Partial, Progress
 
 logger = logging.getLogger(__name__)
 
+Parameters = ParamSpec("Parameters")
+Content = TypeVar("Content")
+
 # The store accepts at most 100 entries and 1 MB of JSON per transaction. Values grow by
 # a third in JSON.
 MAX_TRANSACTION_ENTRIES = 95
@@ -60,6 +66,28 @@
     partials: dict[str, Partial]
 
 
+def report_unreadable(
+    read: Callable[Parameters, Awaitable[Result[Content, StepError]]],
+) -> Callable[Parameters, Awaitable[Result[Content, StepError]]]:
+    """Return a method that gives an error where it finds a row that it cannot read.
+
+    The row costs the call that needs it, and not the task that made the call.
+    """
+
+    @functools.wraps(read)
+    async def read_or_report(
+        *arguments: Parameters.args, **options: Parameters.kwargs
+    ) -> Result[Content, StepError]:
+        try:
+            return await read(*arguments, **options)
+        except (*DECODING_ERRORS, zlib.error) as error:
+            cause = f"unreadable row: {type(error).__name__}: {error}"[:300]
+            logger.warning("row of a batch cannot be read", extra={"cause": cause})
+            return Err(StepError("batch.read", "store", cause))
+
+    return read_or_report
+
+
 class BatchRepository:
     """Reads and writes batches as rows of the store.
 
@@ -147,6 +175,7 @@
         ]
         return await self.commit(0, progress, puts, own_parts)
 
+    @report_unreadable
     async def commit(
         self,
         version: int,
@@ -182,6 +211,7 @@
         """Replace only the progress row, on the same condition as `commit`."""
         return await self.commit(version, progress, [rows.encode_progress(progress)])
 
+    @report_unreadable
     async def progress(self, batch_id: str) -> Result[StoredProgress | None, StepError]:
         """Read the progress of a batch; None if there is no such batch."""
         key = rows.progress_key(batch_id)
@@ -193,6 +223,7 @@
                 return Ok(StoredProgress(rows.decode_progress(row), row.version))
         return Ok(None)
 
+    @report_unreadable
     async def results(
         self, batch_id: str, after: int
     ) -> Result[list[ItemResult], StepError]:
@@ -205,6 +236,7 @@
             return page
         return Ok(await rows.decode_results(page.ok_value.rows))
 
+    @report_unreadable
     async def next_results(
         self, batch_id: str, after: int
     ) -> Result[list[ItemResult], StepError]:
@@ -229,6 +261,7 @@
             if whole or not page.ok_value.has_more:
                 return Ok(await rows.decode_results(whole))
 
+    @report_unreadable
     async def items(self, batch_id: str) -> Result[tuple[BatchItem, ...], StepError]:
         """Read the items of a batch."""
         start, end = rows.key_range(batch_id, rows.ITEMS_SUFFIX)
@@ -239,6 +272,7 @@
             return page
         return Ok(await rows.decode_items(page.ok_value.rows))
 
+    @report_unreadable
     async def partials(self, batch_id: str) -> Result[dict[str, Partial], StepError]:
         """Read the unfinished items of a batch."""
         start, end = rows.key_range(batch_id)
@@ -261,6 +295,7 @@
             BatchContent(items.ok_value, tuple(results.ok_value), partials.ok_value)
         )
 
+    @report_unreadable
     async def item_hashes(self, batch_id: str) -> Result[frozenset[int], StepError]:
         """Read the hashes of a batch's items."""
         start, _ = rows.key_range(batch_id, rows.HASHES_SUFFIX)
--- a/packages/ebonylb/src/ebonylb/forwarding/version_history.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/version_history.py
@@ -16,6 +16,7 @@
 from ..interfaces import Clock
 from ..interfaces.row_store import Condition, Mismatch, Put, RowKey, RowStore, StoredRow
 from ..storage.store_time import StoreTime
+from ..storage.unreadable import UnreadableRows
 
 logger = logging.getLogger(__name__)
 
@@ -73,6 +74,9 @@
         return ServiceVersions(listed, now_ms, None if is_back else unrecorded)
 
 
+versions_decoder = msgspec.json.Decoder(ServiceVersions)
+
+
 def first_row(listed: tuple[str, ...]) -> ServiceVersions:
     """Return the row of a service that has none, which has had no streams yet."""
     only_version = listed[0] if len(listed) == 1 else None
@@ -120,6 +124,7 @@
         self.store_time = store_time
         self.directory = directory
         self.known: dict[RowKey, tuple[ServiceVersions, int]] = {}
+        self.unreadable = UnreadableRows()
         self.changed = asyncio.Event()
         directory.software_versions.listeners.append(lambda _: self.changed.set())
 
@@ -187,13 +192,8 @@
 
     def apply(self, row: StoredRow) -> None:
         """Use a row of the store; one that cannot be read counts as missing."""
-        try:
-            versions = msgspec.json.decode(row.value, type=ServiceVersions)
-        except msgspec.MsgspecError as error:
-            logger.warning(
-                "software versions of a service unreadable",
-                extra={"service": row.row_key.key, "cause": str(error)},
-            )
+        versions = self.unreadable.decode(row, versions_decoder.decode)
+        if versions is None:
             versions = ServiceVersions((), 0.0, None)
         self.known[row.row_key] = (versions, row.version)
 
--- a/packages/ebonylb/src/ebonylb/leases/table.py
+++ b/packages/ebonylb/src/ebonylb/leases/table.py
@@ -48,6 +48,9 @@
     fence: int
 
 
+lease_decoder = msgspec.json.Decoder(Lease)
+
+
 @dataclass(frozen=True, slots=True)
 class ObservedLease:
     """A lease with the version of its row and the time of the first observation of it.
@@ -133,13 +136,8 @@
             current = self.observed_leases.get(row.row_key.key)
             if row.deleted or (current is not None and current.version >= row.version):
                 continue
-            try:
-                lease = msgspec.json.decode(row.value, type=Lease)
-            except msgspec.MsgspecError as error:
-                logger.error(
-                    "lease row cannot be decoded",
-                    extra={"subject": row.row_key.key, "cause": str(error)},
-                )
+            lease = self.unreadable.decode(row, lease_decoder.decode)
+            if lease is None:
                 continue
             self.observed_leases[row.row_key.key] = ObservedLease(
                 lease, row.version, self.clock.boot_ms()
--- a/packages/ebonylb/src/ebonylb/limits/shares.py
+++ b/packages/ebonylb/src/ebonylb/limits/shares.py
@@ -177,14 +177,10 @@
             name = stored.row_key.key
             if stored.deleted:
                 self.stored.pop(name, None)
+                self.unreadable.forget(name)
                 continue
-            try:
-                row = row_decoder.decode(stored.value)
-            except msgspec.MsgspecError as error:
-                logger.error(
-                    "limits of an entry VM cannot be decoded",
-                    extra={"key": name, "cause": str(error)},
-                )
+            row = self.unreadable.decode(stored, row_decoder.decode)
+            if row is None:
                 continue
             self.record(name, row, stored.version)
             if name != self.name:
--- a/packages/ebonylb/src/ebonylb/peers/link.py
+++ b/packages/ebonylb/src/ebonylb/peers/link.py
@@ -5,11 +5,10 @@
 from collections.abc import AsyncIterator
 from contextlib import suppress
 
-import msgspec
 import zmq
 import zmq.asyncio
 
-from ..outcomes import StepError
+from ..outcomes import DECODING_ERRORS, StepError
 from ..tasks import cancel_and_wait
 from .messages import Failed, Message, decode, encode
 from .traffic import Traffic
@@ -71,7 +70,7 @@
                 message = decode(payload)
                 self.traffic.count_received(message, len(payload))
                 queue.put_nowait((flag, message))
-            except msgspec.MsgspecError as error:
+            except DECODING_ERRORS as error:
                 queue.put_nowait(StepError("peer.decode", self.peer, str(error)))
 
     async def watch_connection(self) -> None:
--- a/packages/ebonylb/src/ebonylb/relay/entry_vms.py
+++ b/packages/ebonylb/src/ebonylb/relay/entry_vms.py
@@ -1,6 +1,5 @@
 """Entry VMs that announce themselves in the store, and whether they reach servers."""
 
-import logging
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
@@ -11,8 +10,6 @@
 from ..storage.follower import TableReader
 from ..storage.store_time import StoreTime
 
-logger = logging.getLogger(__name__)
-
 TABLE = "entry-vms"
 # Each write costs every entry VM a read. Rows therefore change only with what they
 # tell, and are renewed seldom.
@@ -94,18 +91,14 @@
             if stored.deleted:
                 self.forget(name)
                 continue
-            try:
-                row = row_decoder.decode(stored.value)
-            except msgspec.MsgspecError as error:
-                logger.error(
-                    "row of an entry VM cannot be decoded",
-                    extra={"key": name, "cause": str(error)},
-                )
+            row = self.unreadable.decode(stored, row_decoder.decode)
+            if row is None:
                 continue
             self.record(name, row, stored.version)
 
     def forget(self, name: str) -> None:
         """Forget an entry VM whose row was deleted."""
+        self.unreadable.forget(name)
         self.known.pop(name, None)
         self.cached_ms = None
 
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -265,6 +265,7 @@
             "batches.unfinished_items": sum(unfinished_counts),
             "batches.items_waiting": len(components.placement.waiting),
             "servers.listed": len(components.directory.servers),
+            "rows.unreadable": components.count_unreadable_rows(),
             "servers.cut_off": float(components.reachability.is_cut_off),
             "store.calls": self.store.call_count,
             "store.lost": float(not self.readiness.is_store_current()),
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -108,6 +108,8 @@
     ----------
     duties : DutyComponents or None
         None without duties.
+    readers : list of TableReader
+        Readers of the followed tables.
     """
 
     def __init__(
@@ -122,6 +124,7 @@
         self.dependencies = dependencies
         self.bounds = bounds
         clock = dependencies.clock
+        self.readers: list[TableReader] = []
         self.store_time = StoreTime(clock)
         self.routes = RouteTable()
         self.revocation_bound = RevocationBound(
@@ -251,6 +254,7 @@
     def build_entry_vms(self) -> None:
         """Build what this entry VM knows of the others, and what it tells them."""
         self.entry_vms = EntryVms(self.identity.name, self.store_time)
+        self.readers.append(self.entry_vms)
         self.entry_vms.listeners.append(self.reachability.suspect_unless_heard)
         self.standby = Standby(self.reachability, self.entry_vms)
         self.helper_probes = HelperProbes(
@@ -417,6 +421,7 @@
     ) -> TableFollower:
         """Return a follower of a table, which polls more slowly with more servers."""
         servers = self.directory.servers
+        self.readers.append(reader)
         return TableFollower(
             self.dependencies.store,
             self.dependencies.clock,
@@ -427,6 +432,10 @@
             partitioned,
         )
 
+    def count_unreadable_rows(self) -> int:
+        """Return the number of rows in the followed tables that cannot be read."""
+        return sum(len(reader.unreadable) for reader in self.readers)
+
     def background_tasks(self) -> dict[str, BackgroundTask]:
         """Return the functions that run until the process ends, by name."""
         followers = (
--- a/packages/ebonylb/src/ebonylb/service/table_readers.py
+++ b/packages/ebonylb/src/ebonylb/service/table_readers.py
@@ -1,18 +1,14 @@
 """Readers of the tables that operators, trainers and backend servers write."""
 
-import logging
+import functools
 from collections.abc import Callable, Sequence
 
-import msgspec
-
 from ..fleet import ListedServer, ServerDirectory
 from ..interfaces.row_store import StoredRow
 from ..interfaces.server_client import ModelVersion
 from ..routes import Configuration, RouteTable
 from ..storage.follower import TableReader
 
-logger = logging.getLogger(__name__)
-
 RowDecoder = Callable[[StoredRow], object | None]
 
 
@@ -51,15 +47,9 @@
         """Apply the changed rows; deleted and unreadable ones are skipped."""
         for row in rows:
             if row.deleted:
+                self.unreadable.forget(row.row_key.key)
                 continue
-            try:
-                decoded = self.decode(row)
-            except (msgspec.MsgspecError, ValueError) as error:
-                logger.error(
-                    "cannot decode operator row",
-                    extra={"key": row.row_key.key, "cause": str(error)},
-                )
-                continue
+            decoded = self.unreadable.read(row, functools.partial(self.decode, row))
             if isinstance(decoded, Configuration):
                 self.routes.apply(decoded)
             elif isinstance(decoded, ModelVersion):
@@ -88,20 +78,10 @@
     ) -> None:
         self.decode = decode
         self.directory = directory
-        self.logged_errors: dict[str, str] = {}
 
     def read_server(self, row: StoredRow) -> ListedServer | None:
         """Return the server of a row; None, logged once, if it cannot be decoded."""
-        try:
-            return self.decode(row)
-        except (msgspec.MsgspecError, ValueError) as error:
-            if self.logged_errors.get(row.row_key.key) != str(error):
-                self.logged_errors[row.row_key.key] = str(error)
-                logger.warning(
-                    "cannot decode server row",
-                    extra={"server": row.row_key.key, "cause": str(error)},
-                )
-            return None
+        return self.unreadable.read(row, functools.partial(self.decode, row))
 
     def replace_rows(self, rows: Sequence[StoredRow]) -> None:
         """Replace the directory's servers with those of the rows."""
@@ -113,12 +93,18 @@
     def change_rows(self, rows: Sequence[StoredRow]) -> None:
         """Update or remove the servers of the changed rows."""
         for row in rows:
+            if row.deleted:
+                self.unreadable.forget(row.row_key.key)
             server = None if row.deleted else self.read_server(row)
             if server is None:
                 self.directory.remove(row.row_key.key)
             else:
                 self.directory.put(server)
 
+    def reject_row(self, row: StoredRow) -> None:
+        """Remove the server of a row that could not be applied."""
+        self.directory.remove(row.row_key.key)
+
     def on_store_regained(self) -> None:
         """Give servers whose entries expired during the outage time to return."""
         self.directory.record_list_recovery()
--- a/packages/ebonylb/src/ebonylb/storage/follower.py
+++ b/packages/ebonylb/src/ebonylb/storage/follower.py
@@ -1,6 +1,8 @@
 """Follower that replicates a table of the platform's store."""
 
 import asyncio
+import contextlib
+import functools
 import logging
 import random
 from abc import ABC, abstractmethod
@@ -18,6 +20,7 @@
 from .feed_pause import MIN_FEED_PAUSE_MS
 from .store_time import StoreTime
 from .table_read import TableRead
+from .unreadable import UnreadableRows
 
 logger = logging.getLogger(__name__)
 
@@ -44,6 +47,11 @@
 class TableReader(ABC):
     """Receives the content of a followed table."""
 
+    @functools.cached_property
+    def unreadable(self) -> UnreadableRows:
+        """Rows of the table that cannot be read."""
+        return UnreadableRows()
+
     @abstractmethod
     def replace_rows(self, rows: Sequence[StoredRow]) -> None:
         """Replace the content by all rows of the table."""
@@ -52,6 +60,9 @@
     def change_rows(self, rows: Sequence[StoredRow]) -> None:
         """Apply changed and deleted rows in order."""
 
+    def reject_row(self, row: StoredRow) -> None:  # noqa: B027 - most readers keep it
+        """Drop what is known of a row that could not be applied."""
+
     def on_rows_applied(self, began_ms: float) -> None:  # noqa: B027 - optional
         """React to the end of a change, which contains all earlier writes.
 
@@ -203,11 +214,44 @@
         page = response.ok_value
         self.store_time.record(page.store_ms)
         self.version = page.version
-        self.reader.replace_rows(page.rows)
+        self.apply(self.reader.replace_rows, page.rows)
         self.reader.on_rows_applied(began_ms)
         self.loaded.set()
         return None
 
+    def apply(
+        self,
+        apply_rows: Callable[[Sequence[StoredRow]], None],
+        rows: Sequence[StoredRow],
+    ) -> None:
+        """Apply rows; one that the reader fails to apply costs itself alone.
+
+        Without this, one value that no check has refused would end the following of
+        the table, and with it the readiness of this entry VM.
+        """
+        try:
+            apply_rows(rows)
+        except Exception:
+            logger.exception("rows not applied together", extra={"table": self.table})
+        else:
+            return
+        applied = [row for row in rows if self.apply_alone(row)]
+        try:
+            apply_rows(applied)
+        except Exception:
+            logger.exception("rows not applied", extra={"table": self.table})
+
+    def apply_alone(self, row: StoredRow) -> bool:
+        """Return whether the reader can apply a row."""
+        try:
+            self.reader.change_rows([row])
+        except Exception as error:
+            self.reader.unreadable.record(row, error)
+            with contextlib.suppress(Exception):
+                self.reader.reject_row(row)
+            return False
+        return True
+
     async def read_changes(self) -> Exception | None:
         """Read the change feed once and return the failure, if any."""
         # After a failure, the call does not wait for changes: a recovered store
@@ -221,7 +265,7 @@
         page = response.ok_value
         self.store_time.record(page.store_ms)
         if page.rows:
-            self.reader.change_rows(page.rows)
+            self.apply(self.reader.change_rows, page.rows)
         self.version = max(self.version, page.version)
         # Further changes that did not fit into the response may be older than the call.
         if not page.has_more:
--- a/packages/ebonylb/src/ebonylb/usage/count_rows.py
+++ b/packages/ebonylb/src/ebonylb/usage/count_rows.py
@@ -9,11 +9,14 @@
 
 from ..interfaces import Clock, Metrics
 from ..interfaces.row_store import Condition, Mismatch, Put, RowKey, RowStore
+from ..storage.unreadable import UnreadableRows
 from .agreed_time import AgreedTime
 from .attempts import UsageCounter
 
 logger = logging.getLogger(__name__)
 
+counts_decoder = msgspec.json.Decoder(dict[str, int])
+
 TABLE = "usage"
 # Changed counts are stored at this interval, so that the loss of this entry VM costs
 # those of less than half a second.
@@ -70,6 +73,7 @@
         metrics: Metrics,
         count_entry_vms: Callable[[], int],
     ) -> None:
+        self.unreadable = UnreadableRows()
         self.incarnation = incarnation
         self.store = store
         self.clock = clock
@@ -154,7 +158,7 @@
             # An earlier write that got no answer has taken effect.
             row = sent.ok_value.rows[0]
             stored.version = row.version
-            stored.counts = msgspec.json.decode(row.value, type=dict[str, int])
+            stored.counts = self.unreadable.decode(row, counts_decoder.decode) or {}
         else:
             # The row was deleted after the sum was reported.
             self.record_lost(window, "the window is reported")
--- a/packages/ebonylb/src/ebonylb/usage/count_table.py
+++ b/packages/ebonylb/src/ebonylb/usage/count_table.py
@@ -10,10 +10,13 @@
 
 from ..interfaces.row_store import Condition, Put, RowStore, StoredRow
 from ..outcomes import StepError
+from ..storage.unreadable import UnreadableRows
 from .count_rows import TABLE
 
 logger = logging.getLogger(__name__)
 
+counts_decoder = msgspec.json.Decoder(dict[str, int])
+
 # A transaction has at most 100 entries, and each row needs a condition and a deletion.
 MAX_ROWS_PER_DELETION = 40
 
@@ -29,14 +32,11 @@
 def sum_rows(rows: tuple[StoredRow, ...]) -> dict[str, int]:
     """Return the sum of the counts in rows; unreadable ones are skipped."""
     total: Counter[str] = Counter()
+    unreadable = UnreadableRows()
     for row in rows:
-        try:
-            total.update(msgspec.json.decode(row.value, type=dict[str, int]))
-        except msgspec.MsgspecError as error:
-            logger.error(
-                "usage counts cannot be decoded",
-                extra={"key": row.row_key.key, "cause": str(error)},
-            )
+        counts = unreadable.decode(row, counts_decoder.decode)
+        if counts is not None:
+            total.update(counts)
     return dict(sorted(total.items()))
 
 
--- a/packages/ebonylb/src/ebonylb/usage/report_table.py
+++ b/packages/ebonylb/src/ebonylb/usage/report_table.py
@@ -1,5 +1,6 @@
 """Rows of the sums that are reported, and of the window to sum next."""
 
+import functools
 import logging
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
@@ -101,13 +102,7 @@
     def change_rows(self, rows: Sequence[StoredRow]) -> None:
         """Record changed rows; older versions are ignored."""
         for row in rows:
-            try:
-                self.change_row(row)
-            except (msgspec.MsgspecError, ValueError) as error:
-                logger.error(
-                    "row of usage reports cannot be decoded",
-                    extra={"key": row.row_key.key, "cause": str(error)},
-                )
+            self.unreadable.read(row, functools.partial(self.change_row, row))
 
     def change_row(self, row: StoredRow) -> None:
         """Record one row."""
