platform: numbers, addresses and names in rows of others have ranges

Cause: integers of any size passed the decoder and failed in the first division; ports were only checked to be digits. Change: platform/value_types.py says what a row may hold: ranges of all numbers (wider than any sound value), addresses as RFC 3986 has them, names that a header can hold. A value beyond them makes the row unreadable. A port out of range that slips through is a connection that failed, with nothing sent.

--- a/packages/ebonylb/src/ebonylb/adapters/connections.py
+++ b/packages/ebonylb/src/ebonylb/adapters/connections.py
@@ -114,11 +114,11 @@
 
 async def accepts_connection(address: str, timeout_s: float) -> bool:
     """Return whether a server at ``ip:port`` accepts a connection in time."""
-    host, port = address.rsplit(":", 1)
     try:
+        host, port = address.rsplit(":", 1)
         async with asyncio.timeout(timeout_s):
             _, writer = await asyncio.open_connection(host, int(port))
-    except (OSError, TimeoutError):
+    except (OSError, TimeoutError, ValueError, OverflowError):
         return False
     writer.close()
     return True
--- a/packages/ebonylb/src/ebonylb/adapters/http.py
+++ b/packages/ebonylb/src/ebonylb/adapters/http.py
@@ -8,12 +8,18 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ..outcomes import StepError
+from ..outcomes import DECODING_ERRORS, StepError
 
 Model = TypeVar("Model")
 
-# Errors raised before a connection exists, so that no byte of the request was sent.
-NOT_SENT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+# Errors raised before a connection exists, so that no byte of the request was sent. The
+# last one stands for a port out of range.
+NOT_SENT_ERRORS = (
+    aiohttp.ClientConnectorError,
+    aiohttp.ConnectionTimeoutError,
+    OverflowError,
+)
+TRANSPORT_ERRORS = (aiohttp.ClientError, OSError, ValueError, OverflowError)
 
 # A response with a larger body is no response. The limit is that of callers' requests.
 MAX_BODY_BYTES = 33_554_432
@@ -108,7 +114,7 @@
                 **options,
             ) as response:
                 return Ok(HttpResponse(response.status, await read_body(response)))
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except TRANSPORT_ERRORS as error:
             return Err(self.make_transport_error(step, error))
 
     def make_transport_error(self, step: str, error: Exception) -> StepError:
@@ -138,7 +144,7 @@
             return Err(self.make_status_error(step, response))
         try:
             return Ok(msgspec.json.decode(response.body, type=model))
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             return Err(StepError(step, self.name, f"malformed answer: {error}"))
 
     async def fetch(
--- a/packages/ebonylb/src/ebonylb/adapters/model_engine.py
+++ b/packages/ebonylb/src/ebonylb/adapters/model_engine.py
@@ -14,7 +14,7 @@
     LoadOrder,
     ModelEngine,
 )
-from ..outcomes import StepError
+from ..outcomes import DECODING_ERRORS, StepError
 from .http import (
     NOT_SENT_ERRORS,
     HttpEndpoint,
@@ -87,7 +87,7 @@
                         yield chunk
         except (
             aiohttp.ClientError,
-            msgspec.MsgspecError,
+            *DECODING_ERRORS,
             OSError,
             ValueError,  # aiohttp's error for a line over its buffer limit
         ) as error:
--- a/packages/ebonylb/src/ebonylb/adapters/origin_http.py
+++ b/packages/ebonylb/src/ebonylb/adapters/origin_http.py
@@ -14,8 +14,8 @@
 from ..forwarding.stream_origins import StreamOrigins
 from ..interfaces.server_client import ServerAddress
 from ..interfaces.stream_origins import OriginClient, OriginQuery, StreamOrigin
-from ..outcomes import StepError
-from .http import NOT_SENT_ERRORS, describe_error
+from ..outcomes import DECODING_ERRORS, StepError
+from .http import NOT_SENT_ERRORS, TRANSPORT_ERRORS, describe_error
 
 FIND_PATH = "/stream-origins/find"
 REPLICATE_PATH = "/stream-origins/replicate"
@@ -74,7 +74,7 @@
                 if response.status != 200:
                     raise ValueError(f"HTTP status {response.status}")
                 return Ok(decoder.decode(await response.read()))
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except TRANSPORT_ERRORS as error:
             may_have_run = not isinstance(error, NOT_SENT_ERRORS)
             cause = describe_error(error)
             return Err(StepError("stream.origin", entry_vm.name, cause, may_have_run))
@@ -106,6 +106,6 @@
                 answer = await self.origins.answer(query_decoder.decode(body))
             else:
                 answer = self.origins.keep(origins_decoder.decode(body))
-        except (msgspec.MsgspecError, RecursionError) as error:
+        except DECODING_ERRORS as error:
             return web.Response(status=400, text=str(error))
         return web.Response(body=encoder.encode(answer))
--- a/packages/ebonylb/src/ebonylb/adapters/plain_service.py
+++ b/packages/ebonylb/src/ebonylb/adapters/plain_service.py
@@ -6,7 +6,13 @@
 
 from ..interfaces import CallRequest, CallResponse, PlainService
 from ..outcomes import StepError
-from .http import NOT_SENT_ERRORS, HttpEndpoint, describe_error, read_body
+from .http import (
+    NOT_SENT_ERRORS,
+    TRANSPORT_ERRORS,
+    HttpEndpoint,
+    describe_error,
+    read_body,
+)
 
 # Header with which a service states that it did not run the call, and the reason.
 NOT_RUN_HEADER = "X-Not-Run"
@@ -45,7 +51,7 @@
                 timeout=self.build_timeout(self.timeout_ms),
             ) as response:
                 body = await read_body(response)
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except TRANSPORT_ERRORS as error:
             if isinstance(error, NOT_SENT_ERRORS):
                 raise self.make_transport_error("service.connect", error) from error
             raise StepError(
--- a/packages/ebonylb/src/ebonylb/adapters/relay_http.py
+++ b/packages/ebonylb/src/ebonylb/adapters/relay_http.py
@@ -29,12 +29,12 @@
     ServerResponse,
     StreamEvent,
 )
-from ..outcomes import StepError
+from ..outcomes import DECODING_ERRORS, StepError
 from ..relay.receiver import RelayedAnswer
 from ..service.held_bytes import HeldBytes
 from ..service.incoming_bodies import LARGE_BYTES, IncomingBody
 from .connections import accepts_connection
-from .http import NOT_SENT_ERRORS, describe_error
+from .http import NOT_SENT_ERRORS, TRANSPORT_ERRORS, describe_error
 from .response_heads import check_decoded_head
 
 RelayedMessage = TypeVar("RelayedMessage", RelayedRequest, ResponseHead)
@@ -117,7 +117,7 @@
         wait = incoming.wait_to_read_on if incoming else None
         try:
             return await read_frame(self.response, MAX_FRAME_BYTES, wait)
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except TRANSPORT_ERRORS as error:
             raise StepError("relay.read", self.peer, describe_error(error)) from error
 
     def receive(self) -> contextlib.AbstractContextManager[IncomingBody | None]:
@@ -214,7 +214,7 @@
                 trace_request_ctx=request.progress,
             )
             head = await self.read_head(response)
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except TRANSPORT_ERRORS as error:
             may_have_run = not isinstance(error, NOT_SENT_ERRORS)
             cause = describe_error(error)
             return Err(StepError("relay.open", entry_vm.name, cause, may_have_run))
@@ -234,7 +234,7 @@
             head = change_values(head, unescape)
             check_decoded_head(head.status, head.headers)
             return head
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             response.close()
             raise ValueError(f"malformed head: {error}") from error
         except BaseException:
@@ -267,7 +267,7 @@
             return web.Response(status=404)
         try:
             decoded = request_decoder.decode(await request.read())
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             return web.Response(status=400, text=str(error))
         answer = await self.serve(change_values(decoded, unescape))
         if answer.chunks is not None:
--- a/packages/ebonylb/src/ebonylb/platform/batch_wire.py
+++ b/packages/ebonylb/src/ebonylb/platform/batch_wire.py
@@ -1,12 +1,12 @@
 """Wire format of batches and their results."""
 
 import base64
-import binascii
 
 import msgspec
 from multidict import CIMultiDict
 
 from ..batches import Batch, BatchHeader, BatchItem, ResultsPage, ScoringRequest
+from ..outcomes import DECODING_ERRORS
 from ..tasks import in_turns
 from . import wire_names
 from .identity_headers import customer_headers, replace_identity
@@ -123,7 +123,7 @@
                 decode_item(item_decoder.decode(raw), host, customer)
                 for raw in raw_items
             )
-    except (msgspec.MsgspecError, binascii.Error):
+    except DECODING_ERRORS:
         return None
     if len({item.item_id for item in items}) < len(items):
         return None
--- a/packages/ebonylb/src/ebonylb/platform/control_plane.py
+++ b/packages/ebonylb/src/ebonylb/platform/control_plane.py
@@ -7,7 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ..adapters.http import NOT_SENT_ERRORS, describe_error
+from ..adapters.http import NOT_SENT_ERRORS, TRANSPORT_ERRORS, describe_error
 from ..interfaces import Clock
 from ..interfaces.control_plane import (
     CallOutcome,
@@ -113,7 +113,7 @@
                 trace_request_ctx=self.clock.boot_ms(),
             ) as response:
                 return Ok(OUTCOMES.get(response.status, CallOutcome.REJECTED))
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except TRANSPORT_ERRORS as error:
             was_sent = not isinstance(error, (*NOT_SENT_ERRORS, LateConnectionError))
             step = "platform" + path.replace("/", ".")
             return Err(StepError(step, self.address, describe_error(error), was_sent))
--- a/packages/ebonylb/src/ebonylb/platform/row_decoding.py
+++ b/packages/ebonylb/src/ebonylb/platform/row_decoding.py
@@ -15,8 +15,15 @@
     ServiceSpec,
     Target,
 )
-from . import wire_names
-from .numbers import parse_count
+from . import value_types, wire_names
+from .value_types import (
+    Count,
+    Milliseconds,
+    Seconds,
+    UnixMilliseconds,
+    check_address,
+    check_header_text,
+)
 
 ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -32,7 +39,7 @@
     """Service of a split route, with its weight."""
 
     Service: str
-    Weight: float = 1.0
+    Weight: value_types.Weight = 1.0
 
 
 class WireRoute(msgspec.Struct):
@@ -44,12 +51,12 @@
     Kind: str
     Service: str = ""
     Backends: list[WireTarget] = []
-    TimeoutMs: float = 10_000
-    TargetLatencyMs: float = 1_000
-    Priority: int = 0
-    Attempts: int = 1
-    RetentionS: float = 60.0
-    ResultDeadlineMs: float = 10_000
+    TimeoutMs: Milliseconds = 10_000
+    TargetLatencyMs: Milliseconds = 1_000
+    Priority: Count = 0
+    Attempts: Count = 1
+    RetentionS: Seconds = 60.0
+    ResultDeadlineMs: Milliseconds = 10_000
     SingleVersion: bool = False
     Resumable: bool = False
     Public: bool = False
@@ -86,9 +93,9 @@
 class WireEngine(msgspec.Struct):
     """Engine of a service; `Stride` is the number of tokens per stream event."""
 
-    Slots: int = 1
-    KvCapacity: int = 0
-    Stride: int = 1
+    Slots: Count = 1
+    KvCapacity: Count = 0
+    Stride: Count = 1
     Models: list[WireEngineModel] = []
 
 
@@ -99,11 +106,11 @@
     of a server second.
     """
 
-    Min: int = 0
-    Max: int = 1
-    BootS: float = 0.0
-    SpotPrice: float | None = None
-    ZonePrices: dict[str, float] = {}
+    Min: Count = 0
+    Max: Count = 1
+    BootS: Seconds = 0.0
+    SpotPrice: value_types.Weight | None = None
+    ZonePrices: dict[str, value_types.Weight] = {}
 
     def decode(self) -> ScalingSpec:
         """Return the bounds and prices as the internal type."""
@@ -121,7 +128,7 @@
 
     Name: str
     ApiKeys: list[str] = []
-    Priority: int | None = None
+    Priority: Count | None = None
 
     def __repr__(self) -> str:
         """Return a text without the keys."""
@@ -132,7 +139,7 @@
     """Service; only model services have an engine."""
 
     Name: str
-    MaxConns: int = 100
+    MaxConns: Count = 100
     Engine: WireEngine | None = None
     Scaling: WireScaling | None = None
 
@@ -153,14 +160,14 @@
 class WireLimits(msgspec.Struct, frozen=True):
     """Limits for requests of callers."""
 
-    MaxBodyBytes: int = 33_554_432
-    IdleTimeoutMs: float = 15_000
+    MaxBodyBytes: Count = 33_554_432
+    IdleTimeoutMs: Milliseconds = 15_000
 
 
 class WireConfiguration(msgspec.Struct):
     """Complete configuration written by the operator."""
 
-    Version: int
+    Version: Count
     Routes: list[WireRoute]
     Services: list[WireService] = []
     Limits: WireLimits = WireLimits()
@@ -179,26 +186,26 @@
     Zone: str
     State: str
     Version: str = ""
-    Slots: int = 1
-    ColdRemainingMs: float = 0
+    Slots: value_types.Slots = 1
+    ColdRemainingMs: Milliseconds = 0
     Models: list["WireModelVersion"] = []
-    born: int | None = None
+    born: UnixMilliseconds | None = None
     UseSpot: bool = False
-    leaves_ms: float | None = None
+    leaves_ms: Milliseconds | None = None
 
 
 class WireModelVersion(msgspec.Struct):
     """Loaded weight version of a model."""
 
     Name: str
-    Version: int = 0
+    Version: Count = 0
 
 
 class WireWeightVersion(msgspec.Struct):
     """Row in which a trainer announces the newest weight version of a model."""
 
     Model: str
-    Version: int
+    Version: Count
 
 
 def decode_customers(
@@ -253,13 +260,10 @@
     stage = SERVER_STAGES.get(wire.State)
     if stage is None:
         raise msgspec.ValidationError(f"unknown state {wire.State!r}")
-    host, separator, port = wire.Address.rpartition(":")
-    if not (host and separator and parse_count(port) is not None):
-        raise msgspec.ValidationError(f"unknown address {wire.Address!r}")
     return ListedServer(
-        name=row.row_key.key,
+        name=check_header_text(row.row_key.key, "name"),
         service=wire.Service,
-        address=wire.Address,
+        address=check_address(wire.Address),
         failure_domain=wire.Zone,
         stage=stage,
         slots=max(1, wire.Slots),
--- a/packages/ebonylb/src/ebonylb/platform/servers.py
+++ b/packages/ebonylb/src/ebonylb/platform/servers.py
@@ -16,6 +16,7 @@
 from ..adapters.http import (
     MAX_BODY_BYTES,
     NOT_SENT_ERRORS,
+    TRANSPORT_ERRORS,
     describe_error,
     read_body,
 )
@@ -32,12 +33,13 @@
     StreamEvent,
     VersionOrder,
 )
-from ..outcomes import StepError
+from ..outcomes import DECODING_ERRORS, StepError
 from ..service.held_bytes import HeldBytes
 from ..service.incoming_bodies import IncomingBody, NoRoomError
 from . import wire_names
 from .event_stream import EventDecoder
 from .numbers import parse_count, parse_rate
+from .value_types import Count
 
 WRONG_SERVER_STATUS = 421
 # A reachable server accepts a connection within about 30 ms, also in other regions.
@@ -69,14 +71,14 @@
     """Model in a report; `Version` is the version of its weights."""
 
     Name: str
-    Version: int = 0
+    Version: Count = 0
 
 
 class WireReport(msgspec.Struct):
     """State of a server; `Sequence` counts the orders accepted since its start."""
 
     Busy: bool = False
-    Sequence: int = 0
+    Sequence: Count = 0
     Models: list[WireModel] = []
 
 
@@ -156,7 +158,7 @@
             with self.receive(math.inf if length is None else length) as incoming:
                 wait = incoming.wait_to_read_on if incoming else None
                 return await read_body(self.response, MAX_BODY_BYTES, wait)
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except TRANSPORT_ERRORS as error:
             raise StepError("server.body", self.peer, describe_error(error)) from error
 
     async def decode_events(self) -> AsyncIterator[tuple[StreamEvent, bytes]]:
@@ -194,6 +196,24 @@
             self.response.close()
 
 
+def build_url(server: ServerAddress, target: str) -> URL:
+    """Return the URL of a path at a server.
+
+    Raises
+    ------
+    OverflowError
+        The port is out of range, so that nothing can be sent.
+    """
+    try:
+        url = URL(f"http://{server.address}{target}", encoded=True)
+        # An encoded URL is not checked before its parts are read.
+        if not url.port:
+            raise ValueError("no port")
+    except ValueError as error:
+        raise OverflowError(str(error)) from error
+    return url
+
+
 class HttpServerClient(ServerClient):
     """Client of backend servers over persistent connections.
 
@@ -224,14 +244,14 @@
         try:
             response = await self.session.request(
                 request.method,
-                URL(f"http://{server.address}{request.target}", encoded=True),
+                build_url(server, request.target),
                 headers=self.build_headers(server, request),
                 data=request.body or None,
                 timeout=timeout,
                 allow_redirects=False,
                 trace_request_ctx=request.progress,
             )
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except TRANSPORT_ERRORS as error:
             may_have_run = not isinstance(error, NOT_SENT_ERRORS)
             return Err(
                 StepError(
@@ -284,7 +304,7 @@
             return Err(StepError("server.report", server.name, cause))
         try:
             report = msgspec.json.decode(response.body, type=WireReport)
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             return Err(StepError("server.report", server.name, str(error)))
         models = tuple(ModelVersion(m.Name, m.Version) for m in report.Models)
         return Ok(
@@ -344,7 +364,7 @@
         try:
             async with self.session.request(
                 method,
-                f"http://{server.address}{path}",
+                build_url(server, path),
                 headers=headers,
                 data=data,
                 timeout=aiohttp.ClientTimeout(
@@ -363,7 +383,7 @@
                 )
                 limit_per_s = parse_rate(response.headers.get(wire_names.SERVER_LIMIT))
                 return Ok(ControlResponse(response.status, body, leaving, limit_per_s))
-        except (aiohttp.ClientError, OSError, ValueError) as error:
+        except TRANSPORT_ERRORS as error:
             may_have_run = not isinstance(error, NOT_SENT_ERRORS)
             return Err(
                 StepError(step, server.name, describe_error(error), may_have_run)
--- a/packages/ebonylb/tests/test_odd_rows.py
+++ b/packages/ebonylb/tests/test_odd_rows.py
@@ -9,13 +9,19 @@
 
 import msgspec
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from result import Err
 
 from ebonylb.fleet import ServerDirectory
 from ebonylb.interfaces.row_store import RowKey, StoredRow
+from ebonylb.outcomes import DECODING_ERRORS
 from ebonylb.platform.row_decoding import (
+    decode_configuration,
     decode_server,
+    decode_weight_version,
 )
+from ebonylb.platform.value_types import check_address
 from ebonylb.service.table_readers import ServerReader
 from ebonylb.storage.follower import TableFollower, TableReader
 from ebonylb.storage.store_time import StoreTime
@@ -37,6 +43,37 @@
     "born": 5,
     "Models": [{"Name": "m", "Version": 1}],
 }
+ODD_FIELDS = [
+    {"Slots": DIGITS},
+    {"Slots": -DIGITS},
+    {"ColdRemainingMs": DIGITS},
+    {"leaves_ms": DIGITS},
+    {"born": DIGITS},
+    {"Models": [{"Name": "m", "Version": DIGITS}]},
+    *(
+        {"Address": address}
+        for address in (
+            "10.0.0.1:65536",
+            "10.0.0.1:99999",
+            "10.0.0.1:123456789012345",
+            "10.0.0.1:0",
+            "10.0.0.1:-1",
+            "10.0.0.1:",
+            "10.0.0.1",
+            ":80",
+            "a b:80",
+            "a@b:80",
+            "a/b:80",
+            "a?b:80",
+            "a#b:80",
+            "::1:80",
+            "[::1:80",
+            "\u0661:80",
+            "h:\u0661",
+            "x" * 300 + "\n:80",
+        )
+    ),
+]
 
 
 def row(value, key="s", table="servers", version=1):
@@ -52,6 +89,31 @@
 
 
 class TestServerEntries:
+    # Guards against a value that passes the decoder and fails in a computation.
+    @pytest.mark.parametrize("odd", ODD_FIELDS, ids=lambda odd: str(odd)[:40])
+    def test_an_odd_value_names_no_server(self, odd):
+        with pytest.raises(DECODING_ERRORS):
+            decode_server(row(SOUND | odd))
+
+    @pytest.mark.parametrize("key", ["", "a\nb", "a\r\nb: c", "\u20ac", "\x7f"])
+    def test_a_name_that_no_header_can_hold_names_no_server(self, key):
+        with pytest.raises(DECODING_ERRORS):
+            decode_server(row(SOUND, key))
+
+    @pytest.mark.parametrize(
+        "address",
+        [
+            "10.0.0.1:1",
+            "10.0.0.1:65535",
+            "[::1]:80",
+            "[fe80::1:2]:8080",
+            "replica-1.example:80",
+        ],
+    )
+    def test_sound_addresses_are_taken(self, address):
+        """Guards against a check that is stricter than RFC 3986."""
+        assert check_address(address) == address
+
     # Guards against an entry that ends the following of the list (review/8).
     def test_deeply_nested_lists_cost_their_entry_alone(self):
         directory = ServerDirectory(LoopClock())
@@ -65,6 +127,44 @@
         reader.replace_rows([row(SOUND, "a"), row(nested(), "odd")])
         reader.change_rows([row(nested(), "odd"), row(SOUND, "b")])
 
+    def test_an_entry_is_logged_once_and_counts_until_it_is_sound(self, caplog):
+        async def scenario():
+            reader = ServerReader(decode_server, ServerDirectory(LoopClock()))
+            for _ in range(3):
+                reader.change_rows([row(SOUND | {"Slots": DIGITS}, "odd")])
+            assert len(reader.unreadable) == 1
+            reader.change_rows([row(SOUND, "odd")])
+            assert len(reader.unreadable) == 0
+
+        asyncio.run(scenario())
+        lines = [r for r in caplog.records if r.message == "row cannot be read"]
+        assert [(r.table, r.key) for r in lines] == [("servers", "odd")]
+
+
+class TestOperatorRows:
+    @pytest.mark.parametrize(
+        "odd",
+        [
+            {"TimeoutMs": DIGITS},
+            {"Attempts": DIGITS},
+            {"RetentionS": 1e308},
+            {"Backends": [{"Service": "s", "Weight": DIGITS}]},
+        ],
+        ids=str,
+    )
+    def test_an_odd_configuration_is_refused_whole(self, odd):
+        route = {"Name": "r", "Host": "h", "Prefix": "/", "Kind": "idempotent"}
+        value = {"Version": 1, "Routes": [route | {"Service": "s"}]}
+        assert decode_configuration(json.dumps(value).encode()).version == 1
+        value["Routes"] = [value["Routes"][0] | odd]
+        with pytest.raises(DECODING_ERRORS):
+            decode_configuration(json.dumps(value).encode())
+
+    @pytest.mark.parametrize("value", [{"Model": "m", "Version": DIGITS}, nested()])
+    def test_an_odd_weight_version_is_refused(self, value):
+        with pytest.raises(DECODING_ERRORS):
+            decode_weight_version(row(value, "version/m", "op"))
+
 
 ODD_VALUES = [
     b"",
@@ -189,3 +289,36 @@
             following.cancel()
 
         run_virtual(scenario())
+
+
+class TestAnyRow:
+    @settings(max_examples=300)
+    @given(st.binary(max_size=60))
+    def test_any_bytes_are_a_server_or_none(self, value):
+        reader = ServerReader(decode_server, ServerDirectory(LoopClock()))
+        reader.replace_rows([row(value)])
+
+    @settings(max_examples=300)
+    @given(
+        st.dictionaries(
+            st.sampled_from(list(SOUND)),
+            st.one_of(
+                st.none(),
+                st.integers(),
+                st.integers(min_value=2**60),
+                st.floats(allow_nan=False, allow_infinity=False),
+                st.text(max_size=8),
+                st.lists(st.integers(), max_size=2),
+            ),
+        )
+    )
+    def test_an_entry_with_any_values_has_values_that_can_be_computed_with(self, odd):
+        reader = ServerReader(decode_server, ServerDirectory(LoopClock()))
+        server = reader.read_server(row(SOUND | odd))
+        if server is not None:
+            assert 1 <= server.slots <= 1_000_000
+            assert float(server.cold_ms) < 1e13
+            assert float(server.started_ms or 0) < 1e17
+            server.software_version.encode()
+            _, port = server.address.rsplit(":", 1)
+            assert 1 <= int(port) <= 65_535
