servers: a value that slips through costs its own attempt

Cause: an exception in the cost of one server, or in one listener of the list, ended the choice or the change for all; an unexpected error of a request reset its caller's connection. Change: a server whose cost cannot be computed is left out of the choice; a listener that fails keeps no other from the change; an unexpected error is a refusal, internal_error, which says whether the request may have run. TestOddEntries, real processes, ten odd entries at once: 110 of 110 requests answered, a server that joins is used, an entry VM that starts is ready.

--- a/packages/ebonylb/src/ebonylb/batches/holder_shares.py
+++ b/packages/ebonylb/src/ebonylb/batches/holder_shares.py
@@ -29,6 +29,8 @@
 # Batches with less than one slot take turns. An item runs on an engine for about a
 # second.
 TURN_MS = 1_000.0
+# An odd entry of one engine must not end the division for all.
+MAX_ENGINE_SLOTS = 1_000_000
 # A change of the shares is logged if the number of holders changes, or that of the own
 # slots by this share, and at most once per interval and service.
 MIN_LOGGED_CHANGE = 0.25
@@ -210,7 +212,7 @@
         expected = self.open_batches.expected_batches(self.name, service, batches)
         holders = frozenset(b.holder for b in batches if b.unfinished > 0)
         engines = [
-            EngineSlots(server.name, server.slots)
+            EngineSlots(server.name, min(server.slots, MAX_ENGINE_SLOTS))
             for server in self.directory.ready(service)
         ]
         slots = sum(engine.slots for engine in engines)
--- a/packages/ebonylb/src/ebonylb/batches/placement.py
+++ b/packages/ebonylb/src/ebonylb/batches/placement.py
@@ -319,12 +319,22 @@
         best: ListedServer | None = None
         best_cost = float("inf")
         for server in self.directory.ready(need.service):
-            if self.exclusion(server, need, forced, median_gap_ms, can_send, shares):
+            try:
+                if self.exclusion(
+                    server, need, forced, median_gap_ms, can_send, shares
+                ):
+                    continue
+                cost = self.cost(server, need, median_gap_ms, length_share).total
+            except (ArithmeticError, TypeError, ValueError) as error:
+                # An odd value in a server's entry costs that server its place only.
+                logger.warning(
+                    "cost of a server cannot be computed",
+                    extra={"server": server.name, "cause": repr(error)},
+                )
                 continue
             condition = self.directory.condition(server.name)
             if observed_only and not condition.has_recent_gap(now):
                 continue
-            cost = self.cost(server, need, median_gap_ms, length_share).total
             if cost < best_cost:
                 best, best_cost = server, cost
         return best
--- a/packages/ebonylb/src/ebonylb/fleet/directory.py
+++ b/packages/ebonylb/src/ebonylb/fleet/directory.py
@@ -171,9 +171,12 @@
             self.drop_missing()
 
     def notify(self) -> None:
-        """Call all listeners."""
+        """Call all listeners; one that fails keeps no other from the change."""
         for listener in self.listeners:
-            listener()
+            try:
+                listener()
+            except Exception:
+                logger.exception("listener of the server list failed")
 
     def get(self, name: str) -> ListedServer | None:
         """Return a server by name, or None if it is not listed."""
--- a/packages/ebonylb/src/ebonylb/fleet/selector.py
+++ b/packages/ebonylb/src/ebonylb/fleet/selector.py
@@ -1,5 +1,6 @@
 """Selection of servers by expected cost."""
 
+import logging
 import random
 import statistics
 from collections.abc import Callable, Iterable
@@ -11,6 +12,8 @@
 from .model import ListedServer
 from .sending_limits import NoSendingLimits, SendingLimits
 
+logger = logging.getLogger(__name__)
+
 # Round-trip times within a failure domain, within a region, and across regions. One-way
 # latencies of the sites are 0.2, 1.4 and 12 ms.
 ROUND_TRIP_MS = (0.4, 2.8, 24.0)
@@ -135,10 +138,25 @@
         preferred = self.preferred(candidates, spare_slots)
         return min(
             preferred,
-            key=lambda s: (self.plain_cost(s).total, random.random()),
+            key=lambda s: (self.total_cost(s), random.random()),
             default=None,
         )
 
+    def total_cost(self, server: ListedServer) -> float:
+        """Return the cost of a server; infinity if it cannot be computed.
+
+        An odd value in a server's entry costs that server its place in the choice, and
+        not the request.
+        """
+        try:
+            return self.plain_cost(server).total
+        except (ArithmeticError, TypeError, ValueError) as error:
+            logger.warning(
+                "cost of a server cannot be computed",
+                extra={"server": server.name, "cause": repr(error)},
+            )
+            return float("inf")
+
     def plain_exclusion(
         self,
         server: ListedServer,
--- a/packages/ebonylb/src/ebonylb/forwarding/deadline.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/deadline.py
@@ -1,6 +1,7 @@
 """Deadline of a single request, at which it gets a refusal."""
 
 import asyncio
+import logging
 from abc import ABC, abstractmethod
 
 from ..interfaces import Clock
@@ -9,6 +10,8 @@
 from .request_state import RequestState
 from .strikes import CrashStrikes
 
+logger = logging.getLogger(__name__)
+
 # Time needed to send the response to the caller before the deadline.
 RESPONSE_MARGIN_MS = 15.0
 TIMEOUT_RETRY_AFTER_MS = 300
@@ -39,3 +42,16 @@
         return make_refusal(
             outcome, "timeout", "the time limit was reached", TIMEOUT_RETRY_AFTER_MS
         )
+    except Exception:
+        # A fault of this program costs this request, and not its caller's connection.
+        logger.exception(
+            "request failed unexpectedly",
+            extra={"request_id": state.request.request_id, "servers": state.sent_to},
+        )
+        outcome = Outcome.MAY_HAVE_RUN if state.may_have_run else Outcome.NOT_RUN
+        return make_refusal(
+            outcome,
+            "internal_error",
+            "this entry VM failed to run the request",
+            TIMEOUT_RETRY_AFTER_MS,
+        )
--- a/packages/ebonylb/tests/test_odd_rows.py
+++ b/packages/ebonylb/tests/test_odd_rows.py
@@ -7,20 +7,23 @@
 import asyncio
 import json
 
+import aiohttp
 import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from result import Err
 
-from ebonylb.fleet import ServerDirectory
+from ebonylb.fleet import ListedServer, ServerDirectory, ServerStage
 from ebonylb.interfaces.row_store import RowKey, StoredRow
-from ebonylb.outcomes import DECODING_ERRORS
+from ebonylb.interfaces.server_client import ServerAddress, ServerRequest
+from ebonylb.outcomes import DECODING_ERRORS, Outcome
 from ebonylb.platform.row_decoding import (
     decode_configuration,
     decode_server,
     decode_weight_version,
 )
+from ebonylb.platform.servers import HttpServerClient, trace_connections
 from ebonylb.platform.value_types import check_address
 from ebonylb.service.table_readers import ServerReader
 from ebonylb.storage.follower import TableFollower, TableReader
@@ -291,6 +294,75 @@
         run_virtual(scenario())
 
 
+class TestSlippedValues:
+    """Values that have passed the checks cost their own attempt."""
+
+    @staticmethod
+    def odd_server(world, **fields):
+        options = {"slots": 6, "service": "desk", "address": "10.0.0.9:80"} | fields
+        return ListedServer(
+            "odd",
+            options["service"],
+            options["address"],
+            "north",
+            ServerStage.READY,
+            options["slots"],
+        )
+
+    # Guards against requests that fail because one server's cost cannot be computed.
+    @pytest.mark.parametrize("service", ["desk", "lm"])
+    def test_a_server_whose_cost_cannot_be_computed_costs_no_request(self, service):
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            await world.clock.sleep_ms(500)
+            vm.directory.put(self.odd_server(world, service=service, slots=DIGITS))
+            vm.directory.condition("odd").own_requests = DIGITS // 2
+            batch = world.batch("x", [4] * 8)
+            assert await vm.batches.submit(batch) is None
+            assert len(await read_all(vm, "x", 8)) == 8
+            callers = [Caller(world, f"q{number}") for number in range(8)]
+            for caller in callers:
+                await caller.read(vm)
+                assert caller.events
+
+        run_virtual(scenario())
+
+    def test_an_unexpected_error_is_a_refusal(self):
+        """Guards against a connection that is reset by a fault of this program."""
+
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            await world.clock.sleep_ms(500)
+
+            def fail(*arguments):
+                raise ZeroDivisionError
+
+            vm.forwarder.runs.direct.pool.pick = fail
+            response = await Caller(world, "q").read(vm)
+            assert response.refusal.reason == "internal_error"
+            assert response.refusal.outcome is Outcome.NOT_RUN
+
+        run_virtual(scenario())
+
+    @pytest.mark.parametrize("port", ["65536", "99999", "123456789012345"])
+    def test_a_port_out_of_range_is_a_failed_connection(self, port):
+        async def scenario():
+            async with aiohttp.ClientSession(
+                trace_configs=[trace_connections()]
+            ) as session:
+                client = HttpServerClient(session)
+                server = ServerAddress("odd", f"127.0.0.1:{port}")
+                request = ServerRequest("GET", "/", (), b"", "q", 500.0)
+                opened = await client.open(server, request)
+                assert isinstance(opened, Err)
+                assert not opened.err_value.may_have_run
+                assert not await client.is_reachable(server)
+
+        asyncio.run(scenario())
+
+
 class TestAnyRow:
     @settings(max_examples=300)
     @given(st.binary(max_size=60))
--- a/packages/ebonylb_standins/tests/test_site.py
+++ b/packages/ebonylb_standins/tests/test_site.py
@@ -770,6 +770,77 @@
         assert len(mixed) > MAX_MIXED_STREAMS
 
 
+SOUND_ENTRY = {
+    "Service": DESK,
+    "Address": "127.0.0.1:9",
+    "Zone": "zone-a",
+    "State": "ready",
+    "Slots": 4,
+}
+ODD_ENTRIES = {
+    "nested": b'{"Other":' + b"[" * 2_000 + b"]" * 2_000 + b"}",
+    "slots": json.dumps(SOUND_ENTRY | {"Slots": int("9" * 400)}).encode(),
+    "born": json.dumps(SOUND_ENTRY | {"born": int("9" * 400)}).encode(),
+    "cold": json.dumps(SOUND_ENTRY | {"ColdRemainingMs": int("9" * 400)}).encode(),
+    "port": json.dumps(SOUND_ENTRY | {"Address": "127.0.0.1:65536"}).encode(),
+    "long-port": json.dumps(
+        SOUND_ENTRY | {"Address": "127.0.0.1:123456789012345"}
+    ).encode(),
+    "host": json.dumps(SOUND_ENTRY | {"Address": "a@127.0.0.1:80"}).encode(),
+    "bytes": b"\xff\x00",
+    "state": json.dumps(SOUND_ENTRY | {"State": "elsewhere"}).encode(),
+    "types": json.dumps(SOUND_ENTRY | {"Service": 5, "Zone": []}).encode(),
+}
+
+
+class TestOddEntries:
+    """Odd entries among those of the servers, while servers join and VMs start."""
+
+    async def ask(self, site, vm, count):
+        """Send plain requests and return the number of those that are answered."""
+        statuses = []
+        for number in range(count):
+            status, _, _ = await site.call(
+                vm,
+                "POST",
+                "/ask/1",
+                f"{vm.name}-{number}-{random.random()}",
+                b"x",
+                Ebonylb_Deadline_Ms="3000",
+            )
+            statuses.append(status)
+        return statuses.count(200)
+
+    async def serve_beside_odd_entries(self, first_ip):
+        async with HttpSite(first_ip=first_ip, entry_vms=2, engines=0, desks=2) as site:
+            first, second = site.vms.values()
+            for key, value in ODD_ENTRIES.items():
+                site.store.data.put("servers", key, value)
+            await asyncio.sleep(1.0)
+            for vm in (first, second):
+                assert await self.ask(site, vm, 40) == 40
+            # A server that joins later is used, and one that leaves is not.
+            late = HttpServer("late", DESK)
+            await site.add_server(late, next(iter(ZONES)))
+            for name in ("desk-0", "desk-1"):
+                site.store.data.put("servers", name, None)
+            await asyncio.sleep(1.0)
+            for vm in (first, second):
+                assert await self.ask(site, vm, 10) == 10
+            assert sum(late.run_counts.values()) == 20
+            third = await site.add_entry_vm("vm-2", next(iter(ZONES)))
+            await site.wait_ready(third)
+            assert await self.ask(site, third, 10) == 10
+            _, metrics, _ = await site.read_metrics(first)
+            return metrics.decode()
+
+    # Guards against requests, followers and starts that an odd entry ends.
+    def test_an_odd_entry_costs_itself_alone(self):
+        metrics = asyncio.run(self.serve_beside_odd_entries(375))
+        (line,) = [x for x in metrics.splitlines() if "rows_unreadable" in x]
+        assert float(line.split()[-1]) == len(ODD_ENTRIES)
+
+
 @pytest.mark.xdist_group("cut")
 class TestCutOffEntryVms:
     """Two of three entry VMs reach no server; callers keep their connections."""
