streams: a version that is not certain is not remembered

Callers would see: a stream without a row is taken for the former version at one entry VM; the row that is written later names another one, and that entry VM goes on by its guess for a minute. Cause: what find() concluded from a missing row was kept like what a row or the entry VM that ran the stream tells, and was told to others. Change: only certain answers are remembered; the search has a method of its own. Before / after: test_a_version_that_is_not_certain_is_not_remembered: v1 after the row said v2, now v2.

--- a/packages/ebonylb/src/ebonylb/forwarding/stream_origins.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/stream_origins.py
@@ -224,7 +224,16 @@
             [StreamOrigin(stream_id, service, software_version)]
         )
         if stream_id in kept:
-            return Ok(self.bind(stream_id, service, kept[stream_id], True, True))
+            kept_version = kept[stream_id]
+            return Ok(
+                self.bind(
+                    stream_id,
+                    service,
+                    kept_version,
+                    needs_row=True,
+                    is_replicated=True,
+                )
+            )
         if may_be_written and written is not None:
             stored = await self.wait_for_write(written, LAST_WRITE_TIMEOUT_MS)
             if isinstance(stored, Ok):
@@ -283,27 +292,34 @@
         """
         if known := self.known.get(stream_id):
             return known.software_version
-        asking = asyncio.create_task(
-            self.peers.find(OriginQuery(stream_id, service))
-            if stream_id
-            else return_none()
-        )
+        version, is_certain = await self.search(stream_id, service)
+        if version is None:
+            return await self.peers.find(OriginQuery(stream_id, service, True))
+        if is_certain and stream_id:
+            self.bind(stream_id, service, version)
+        return version
+
+    async def search(self, stream_id: str, service: str) -> tuple[str | None, bool]:
+        """Return what the store or another entry VM tells, and whether it is certain.
+
+        What is not certain must not be remembered: the row may be written later.
+        """
+        if not stream_id:
+            return await self.read_in_time(stream_id, service)
+        asking = asyncio.create_task(self.peers.find(OriginQuery(stream_id, service)))
         reading = asyncio.create_task(self.read_in_time(stream_id, service))
         try:
             await asyncio.wait((asking, reading), return_when=asyncio.FIRST_COMPLETED)
-            version = asking.result() if asking.done() else None
-            if version is None:
-                version, is_certain = await reading
-                if not is_certain:
-                    version = await asking or version
+            if asking.done() and asking.result() is not None:
+                return asking.result(), True
+            version, is_certain = await reading
+            if is_certain:
+                return version, True
+            told = await asking
+            return (version, False) if told is None else (told, True)
         finally:
             asking.cancel()
             reading.cancel()
-        if version is None:
-            version = await self.peers.find(OriginQuery(stream_id, service, True))
-        if version is None or not stream_id:
-            return version
-        return self.bind(stream_id, service, version)
 
     async def read_in_time(
         self, stream_id: str, service: str
@@ -418,7 +434,3 @@
         while True:
             await self.replicate_unknown(list(self.known.items()))
             await self.clock.sleep_ms(HAND_OVER_INTERVAL_MS)
-
-
-async def return_none() -> None:
-    """Return None."""
--- a/packages/ebonylb/tests/test_stream_origins.py
+++ b/packages/ebonylb/tests/test_stream_origins.py
@@ -358,6 +358,18 @@
 
         run_virtual(scenario())
 
+    # Guards against a guess that outlives what is learned later.
+    def test_a_version_that_is_not_certain_is_not_remembered(self):
+        async def scenario():
+            world, vm = await begin_release("a")
+            origins = vm.stream_origins
+            assert await origins.find("q", "desk") == "v1"
+            world.data.put(TABLE, "q", b"v2", row_key("q").part)
+            assert await origins.find("q", "desk") == "v2"
+            assert list(origins.known) == ["q"]
+
+        run_virtual(scenario())
+
 
 class TestTakenUpTwice:
     # Guards against two answers to one question.
