batches: a failed start of items is repeated

Callers would see: a job that never ends, after an unexpected exception in the task that starts its items; before, each item had a task of its own that is repeated (found while the diff was read). Change: the start is repeated after a pause, as the run of an item is; items that have started are passed over. Before / after: test_a_failed_start_is_repeated: 0 of 100 results without the repetition, 100 with it.

--- a/packages/ebonylb/src/ebonylb/batches/holder.py
+++ b/packages/ebonylb/src/ebonylb/batches/holder.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
 from ..interfaces import Clock, Metrics
@@ -191,7 +191,7 @@
         longest_first = sorted(
             self.unstarted.values(), key=lambda item: -item.length_hint
         )
-        self.add_task(self.starts.run(longest_first))
+        self.add_task(self.start_items(longest_first))
         try:
             await self.commit_until_done()
         finally:
@@ -203,6 +203,21 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    async def start_items(self, items: Sequence[BatchItem]) -> None:
+        """Start all items.
+
+        An unexpected exception costs a pause: items that never start would keep the
+        batch from its end.
+        """
+        while True:
+            try:
+                await self.starts.run(items)
+                return
+            except Exception:
+                logger.exception("start of items failed")
+                self.metrics.incr("batch.item_errors")
+                await self.clock.sleep_ms(ITEM_RESTART_DELAY_MS)
+
     def start_item(self, item: BatchItem) -> bool:
         """Start an item; return False if it has a result or the batch is left."""
         if self.stopping or self.releasing or item.item_id not in self.unstarted:
@@ -220,6 +235,7 @@
         """
         has_waited = False
 
+        # Later waits, for a server after the first one, do not hold up other starts.
         def end_wait() -> None:
             nonlocal has_waited
             if not has_waited:
--- a/packages/ebonylb/tests/test_large_batches.py
+++ b/packages/ebonylb/tests/test_large_batches.py
@@ -17,7 +17,7 @@
 from ebonylb.batches import ItemResult, rows
 from ebonylb.batches.customer_order import CustomerOrder
 from ebonylb.batches.holder_shares import NoSlotLimits
-from ebonylb.batches.item_starts import ITEMS_PER_TURN, MAX_WAITING
+from ebonylb.batches.item_starts import ITEMS_PER_TURN, MAX_WAITING, ItemStarts
 from ebonylb.batches.placement import ItemRequirements
 from ebonylb.batches.waiting_items import FORCE_AFTER_MS, Waiter, WaitingItems
 from ebonylb.platform.batch_wire import decode_batch
@@ -279,6 +279,27 @@
 
         run_virtual(scenario())
 
+    # Guards against a batch that never ends, as the task that starts its items failed.
+    def test_a_failed_start_is_repeated(self, monkeypatch):
+        async def scenario():
+            world = World()
+            vm = world.start("a")
+            await world.clock.sleep_ms(500)
+            lane_of, calls = ItemStarts.lane_of, 0
+
+            def fail_once(starts, item):
+                nonlocal calls
+                calls += 1
+                if calls == 40:
+                    raise ZeroDivisionError
+                return lane_of(starts, item)
+
+            monkeypatch.setattr(ItemStarts, "lane_of", fail_once)
+            await vm.batches.submit(make_large_batch(world, 100))
+            assert len(await read_all(vm, "x", 100)) == 100
+
+        run_virtual(scenario())
+
     def test_all_items_of_a_large_batch_get_results(self):
         async def scenario():
             world = World()
