--- a/packages/ebonylb/tests/test_large_batches.py
+++ b/packages/ebonylb/tests/test_large_batches.py
@@ -290,7 +290,7 @@
             def fail_once(starts, item):
                 nonlocal calls
                 calls += 1
-                if calls == 40:
+                if calls == 20:
                     raise ZeroDivisionError
                 return lane_of(starts, item)
 
