service: the resident memory is a gauge, and is logged before the limit

A process that exceeds its memory limit is killed and leaves no line, so that neither the log nor the metrics told this apart from other ends.

--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -43,6 +43,7 @@
 from .duty_components import DutyPlan
 from .entry_vm_state import describe_state
 from .held_bytes import HeldBytes
+from .memory_watch import MemoryWatch
 from .metrics_handler import MetricsHandler
 from .readiness import Readiness
 from .reload import SettingsReload
@@ -140,10 +141,17 @@
         self.reload = SettingsReload(
             self.settings, self.read_settings, self.apply_settings, self.clock
         )
+        self.memory_watch = MemoryWatch(
+            self.settings.memory_bytes, self.read_gauges, self.clock
+        )
         self.start_background_tasks(
             self.create_platform_followers()
             | self.components.background_tasks()
-            | {"settings": self.reload.run, "idle callers": self.held.disconnect_idle}
+            | {
+                "settings": self.reload.run,
+                "idle callers": self.held.disconnect_idle,
+                "memory": self.memory_watch.run,
+            }
         )
         await self.listen()
         logger.info(
@@ -289,7 +297,7 @@
         )
         metrics_handler = MetricsHandler(
             self.metrics,
-            self.read_gauges,
+            lambda: self.read_gauges() | self.memory_watch.gauges(),
             lambda: describe_state(self.components, self.key_changes),
             self.components.explainer.explain,
         )
