batches: open batches do not exceed the memory of their entry VM

Cause: nothing bounded what the items of open jobs take. Accepting a job of 20.7 MB took 106 MB for a moment (body, items, compressed items four times), taking it over 78 MB, and the body of one item at another entry VM as much. Neither the choice of a holder nor a takeover looked at memory.

Why it works: the size of a job is measured when it is decoded and is part of its header in the store, so that every entry VM knows it. A job is accepted only where it fits beside the open ones, else refused as not run before anything is stored; it goes to a holder with room; and an entry VM takes over only what fits, releasing what was assigned to it otherwise. What was accepted has more room than what is new, so that the loss of a third of the entry VMs leaves no job without a holder. Open jobs count in what is held for bodies. Rows of items are made and read piece by piece, and one item is found without decoding the others.

--- a/packages/ebonylb/src/ebonylb/batches/__init__.py
+++ b/packages/ebonylb/src/ebonylb/batches/__init__.py
@@ -1,5 +1,6 @@
 """Batch jobs in the platform's store, run by the entry VM that holds them."""
 
+from .batch_memory import BatchMemory, measure_items
 from .holder import BatchHolder
 from .holder_shares import HolderShares
 from .item_run import ItemRunner
@@ -20,6 +21,7 @@
     "BatchHeader",
     "BatchHolder",
     "BatchItem",
+    "BatchMemory",
     "BatchOwnership",
     "BatchProgressView",
     "BatchRepository",
@@ -35,4 +37,5 @@
     "ResultsPage",
     "ScoringQueue",
     "ScoringRequest",
+    "measure_items",
 ]
--- a/packages/ebonylb/src/ebonylb/batches/holder_choice.py
+++ b/packages/ebonylb/src/ebonylb/batches/holder_choice.py
@@ -6,6 +6,7 @@
 from ..interfaces import Clock
 from ..relay import Standby
 from ..routes import RouteTable
+from .batch_memory import BatchMemory, memory_of
 from .model import BatchHeader
 from .progress_view import BatchProgressView, ObservedProgress
 
@@ -28,6 +29,8 @@
         Progress of all batches.
     standby : Standby
         Which entry VMs reach servers.
+    memory : BatchMemory
+        Which batches have room here. The other entry VMs have as much memory.
     """
 
     def __init__(
@@ -38,6 +41,7 @@
         progress_view: BatchProgressView,
         clock: Clock,
         standby: Standby,
+        memory: BatchMemory,
     ) -> None:
         self.name = name
         self.incarnation = incarnation
@@ -45,24 +49,28 @@
         self.progress_view = progress_view
         self.clock = clock
         self.standby = standby
+        self.memory = memory
 
-    def choose_holder(self, header: BatchHeader) -> tuple[str, str]:
+    def choose_holder(self, header: BatchHeader) -> tuple[str, str] | None:
         """Return the name and incarnation of the entry VM that should run a new batch.
 
         Batches of one service stay with one entry VM while it is alive: it has
         connections to the servers, observes the speed of each of them, and starts the
         longest items of all batches first. If that is too much work for one entry VM,
         at least the batches of each route stay together. Without a holder, any entry
-        VM that reaches servers claims the batch.
+        VM that reaches servers claims the batch. None if there is no room for it.
         """
         now = self.clock.monotonic_ms()
         service = self.service_of(header.route)
+        size = memory_of(header)
         open_items: Counter[str] = Counter()
+        open_bytes: Counter[str] = Counter()
         alive: list[ObservedProgress] = []
         for observed in self.progress_view.by_batch_id.values():
             progress = observed.progress
             if not progress.ended:
                 open_items[progress.holder] += progress.header.total - progress.listed
+                open_bytes[progress.holder] += memory_of(progress.header)
             if (
                 progress.holder
                 and now - observed.changed_ms <= ALIVE_TIMEOUT_MS
@@ -75,10 +83,13 @@
             same_route = progress.header.route == header.route
             same_service = self.service_of(progress.header.route) == service
             fits_limit = open_items[progress.holder] + header.total <= MAX_OPEN_ITEMS
-            if same_service and (same_route or fits_limit):
+            has_room = self.memory.has_room_beside(open_bytes[progress.holder], size)
+            if same_service and (same_route or fits_limit) and has_room:
                 return progress.holder, progress.incarnation
         if self.standby.is_active:
             return NO_HOLDER
+        if not self.memory.may_accept(size):
+            return None
         return self.name, self.incarnation
 
     def is_cut_off(self, holder: str) -> bool:
--- a/packages/ebonylb/src/ebonylb/batches/model.py
+++ b/packages/ebonylb/src/ebonylb/batches/model.py
@@ -99,6 +99,8 @@
     customer : str
         Name of the customer whose key submitted it; empty for a batch that was
         submitted without a key.
+    held_bytes : int
+        Memory that it takes while it is open; 0 in rows of earlier versions.
     """
 
     batch_id: str
@@ -110,6 +112,7 @@
     min_version: int = 0
     groups_wanted: int = 0
     customer: str = ""
+    held_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/ebonylb/src/ebonylb/batches/ownership.py
+++ b/packages/ebonylb/src/ebonylb/batches/ownership.py
@@ -1,6 +1,7 @@
 """Ownership of batches: those that run here, and the choice of holders."""
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Coroutine
 from typing import Any
@@ -9,6 +10,7 @@
 from ..relay import Standby
 from ..routes import RouteTable
 from ..storage.follower import TableFollower
+from .batch_memory import BatchMemory, memory_of
 from .handover import Handover
 from .holder import BatchHolder
 from .holder_choice import HolderChoice
@@ -43,6 +45,8 @@
         Time after the submission during which a batch stays readable.
     standby : Standby
         Whether this entry VM leaves its batches to others.
+    memory : BatchMemory
+        Which batches have room in the memory of this process.
 
     Attributes
     ----------
@@ -67,6 +71,7 @@
         metrics: Metrics,
         retention_ms: float,
         standby: Standby,
+        memory: BatchMemory,
     ) -> None:
         self.name = name
         self.incarnation = incarnation
@@ -78,8 +83,9 @@
         self.clock = clock
         self.metrics = metrics
         self.standby = standby
+        self.memory = memory
         self.holder_choice = HolderChoice(
-            name, incarnation, routes, progress_view, clock, standby
+            name, incarnation, routes, progress_view, clock, standby, memory
         )
         self.output_reuse = StepOutputReuse(progress_view, repository)
         self.holders: dict[str, BatchHolder] = {}
@@ -152,7 +158,10 @@
         holder = self.create_holder(batch, stored)
         if holder is not None:
             self.holders[batch_id] = holder
-            self.spawn(self.run_accepted(holder))
+            # Counted from now on, and not only when the task begins.
+            held = contextlib.ExitStack()
+            held.enter_context(self.memory.hold(memory_of(batch.header)))
+            self.spawn(self.run_accepted(holder, held))
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine as a background task."""
@@ -187,13 +196,22 @@
             self.repository.row_bytes,
         )
 
-    async def run_accepted(self, holder: BatchHolder) -> None:
-        """Run a new batch, reusing output of the trainer's previous step."""
-        previous_hashes = await self.output_reuse.previous_step_hashes(
-            holder.batch.header
-        )
-        await self.output_reuse.reuse(holder, previous_hashes)
-        await self.run_holder(holder)
+    async def run_accepted(
+        self, holder: BatchHolder, held: contextlib.ExitStack
+    ) -> None:
+        """Run a new batch, reusing output of the trainer's previous step.
+
+        Parameters
+        ----------
+        held : contextlib.ExitStack
+            Counts the batch until it is left.
+        """
+        with held:
+            previous_hashes = await self.output_reuse.previous_step_hashes(
+                holder.batch.header
+            )
+            await self.output_reuse.reuse(holder, previous_hashes)
+            await self.run_holder(holder)
 
     async def run_holder(self, holder: BatchHolder) -> None:
         """Run a batch on this entry VM until its holder stops."""
@@ -230,13 +248,18 @@
             for observed in list(self.progress_view.by_batch_id.values()):
                 if not self.takeover.should_take_over(observed, now):
                     continue
+                header = observed.progress.header
+                has_room = self.memory.may_take_over(memory_of(header))
                 if self.takeover.is_held_by_earlier_incarnation(
                     observed.progress
-                ) and not self.holder_choice.has_capacity(
-                    observed, {*self.holders, *self.claiming_ids}
+                ) and not (
+                    has_room
+                    and self.holder_choice.has_capacity(
+                        observed, {*self.holders, *self.claiming_ids}
+                    )
                 ):
                     self.start_release(observed.stored)
-                else:
+                elif has_room:
                     self.start_takeover(observed.stored, confirm_first=True)
             if now - self.last_delete_ms > DELETE_INTERVAL_MS:
                 self.last_delete_ms = now
@@ -248,6 +271,23 @@
         self.spawn(self.takeover.release(stored))
 
     async def take_over(self, stored: StoredProgress, confirm_first: bool) -> None:
+        """Claim a batch and run it, if there is room for it."""
+        header = stored.progress.header
+        size = memory_of(header)
+        if self.memory.may_take_over(size):
+            with self.memory.hold(size):
+                await self.resume(stored, confirm_first)
+            return
+        logger.info(
+            "no room for batch", extra={"batch": header.batch_id, "bytes": size}
+        )
+        try:
+            if self.is_held_here(stored.progress):
+                await self.takeover.release(stored)
+        finally:
+            self.claiming_ids.discard(header.batch_id)
+
+    async def resume(self, stored: StoredProgress, confirm_first: bool) -> None:
         """Claim a batch and resume it from its stored results and checkpoints."""
         batch_id = stored.progress.header.batch_id
         try:
--- a/packages/ebonylb/src/ebonylb/batches/repository.py
+++ b/packages/ebonylb/src/ebonylb/batches/repository.py
@@ -264,13 +264,33 @@
     @report_unreadable
     async def items(self, batch_id: str) -> Result[tuple[BatchItem, ...], StepError]:
         """Read the items of a batch."""
+        stored = await self.stored_items(batch_id)
+        return stored if isinstance(stored, Err) else Ok(await stored.ok_value.decode())
+
+    @report_unreadable
+    async def item(
+        self, batch_id: str, item_id: str
+    ) -> Result[BatchItem | None, StepError]:
+        """Read one item of a batch; None if there is no such item."""
+        stored = await self.stored_items(batch_id)
+        if isinstance(stored, Err):
+            return stored
+        return Ok(await stored.ok_value.find(item_id))
+
+    async def stored_items(self, batch_id: str) -> Result[rows.StoredItems, StepError]:
+        """Read the items of a batch page by page, and keep no page."""
         start, end = rows.key_range(batch_id, rows.ITEMS_SUFFIX)
-        page = await self.store.read(
-            rows.ITEMS_TABLE, rows.partition_of(batch_id), start, end
-        )
-        if isinstance(page, Err):
-            return page
-        return Ok(await rows.decode_items(page.ok_value.rows))
+        partition = rows.partition_of(batch_id)
+        stored = rows.StoredItems()
+        while True:
+            page = await self.store.read_page(rows.ITEMS_TABLE, partition, start, end)
+            if isinstance(page, Err):
+                return page
+            for row in page.ok_value.rows:
+                await stored.add(row.value)
+            if not page.ok_value.has_more or not page.ok_value.rows:
+                return Ok(stored)
+            start = next_key(page.ok_value.rows[-1].row_key.key)
 
     @report_unreadable
     async def partials(self, batch_id: str) -> Result[dict[str, Partial], StepError]:
--- a/packages/ebonylb/src/ebonylb/batches/rows.py
+++ b/packages/ebonylb/src/ebonylb/batches/rows.py
@@ -30,6 +30,7 @@
 ITEMS_PER_TURN = 500
 RESULTS_PER_TURN = 500
 HASHES_PER_TURN = 5_000
+ENCODED_BYTES_PER_TURN = 131_072
 DECOMPRESSED_BYTES_PER_TURN = 262_144
 
 encoder = msgspec.msgpack.Encoder()
@@ -117,42 +118,97 @@
 async def encode_items(
     batch_id: str, items: Sequence[BatchItem], row_bytes: int
 ) -> list[Put]:
-    """Return the writes of the items, compressed and split into rows."""
+    """Return the writes of the items, compressed and split into rows.
+
+    The compressed items exist once, in these rows: a batch may take a large part of the
+    memory of a process.
+    """
+    size = int(row_bytes * MAX_ROW_FILL)
     compressor = zlib.compressobj(COMPRESSION_LEVEL)
-    chunks = [compressor.compress(ARRAY_32 + len(items).to_bytes(4, "big"))]
-    async for some in in_turns(items, ITEMS_PER_TURN):
-        encoded = b"".join(encoder.encode(item) for item in some)
-        chunks.append(compressor.compress(encoded))
-    chunks.append(compressor.flush())
-    value = b"".join(chunks)
-    return split_value(ITEMS_TABLE, batch_id, ITEMS_SUFFIX, value, row_bytes)
+    rest = bytearray(compressor.compress(ARRAY_32 + len(items).to_bytes(4, "big")))
+    values: list[bytes] = []
+
+    def append(compressed: bytes) -> None:
+        rest.extend(compressed)
+        while len(rest) > size:
+            values.append(bytes(rest[:size]))
+            del rest[:size]
+
+    turn_bytes = 0
+    for item in items:
+        encoded = encoder.encode(item)
+        append(compressor.compress(encoded))
+        turn_bytes += len(encoded)
+        if turn_bytes >= ENCODED_BYTES_PER_TURN:
+            turn_bytes = 0
+            await asyncio.sleep(0)
+    append(compressor.flush())
+    values.append(bytes(rest))
+    return [
+        Put(batch_row_key(ITEMS_TABLE, batch_id, f"{ITEMS_SUFFIX}.{number:04d}"), value)
+        for number, value in enumerate(values)
+    ]
+
+
+class StoredItems:
+    """Items of a batch as they are read from their rows, in order.
+
+    Only the decompressed items are kept, not the rows.
+    """
+
+    def __init__(self) -> None:
+        self.decompressor = zlib.decompressobj()
+        self.encoded = bytearray()
+        self.has_rows = False
+
+    async def add(self, value: bytes) -> None:
+        """Add the value of the next row."""
+        self.has_rows = True
+        while value and not self.decompressor.eof:
+            self.encoded += self.decompressor.decompress(
+                value, DECOMPRESSED_BYTES_PER_TURN
+            )
+            value = self.decompressor.unconsumed_tail
+            await asyncio.sleep(0)
+
+    def split(self) -> list[msgspec.Raw]:
+        """Return the encoded items; empty without rows.
+
+        Raises
+        ------
+        zlib.error
+            A row is missing.
+        """
+        if not self.has_rows:
+            return []
+        self.encoded += self.decompressor.flush()
+        if not self.decompressor.eof:
+            raise zlib.error("the compressed items are incomplete")
+        return raw_items_decoder.decode(self.encoded)
+
+    async def decode(self) -> tuple[BatchItem, ...]:
+        """Return all items."""
+        items: list[BatchItem] = []
+        async for raw_items in in_turns(self.split(), ITEMS_PER_TURN):
+            items.extend(map(item_decoder.decode, raw_items))
+        return tuple(items)
+
+    async def find(self, item_id: str) -> BatchItem | None:
+        """Return the item with an id, None if there is none."""
+        async for raw_items in in_turns(self.split(), ITEMS_PER_TURN):
+            for raw in raw_items:
+                item = item_decoder.decode(raw)
+                if item.item_id == item_id:
+                    return item
+        return None
 
 
 async def decode_items(rows: Iterable[StoredRow]) -> tuple[BatchItem, ...]:
     """Decode the items of a batch; empty without rows."""
-    values = join_values(rows)
-    if not values:
-        return ()
-    encoded = await decompress(values[0][1])
-    items: list[BatchItem] = []
-    async for raw_items in in_turns(raw_items_decoder.decode(encoded), ITEMS_PER_TURN):
-        items.extend(map(item_decoder.decode, raw_items))
-    return tuple(items)
-
-
-async def decompress(value: bytes) -> bytes:
-    """Return the decompressed value."""
-    decompressor = zlib.decompressobj()
-    chunks = []
-    while value and not decompressor.eof:
-        chunks.append(decompressor.decompress(value, DECOMPRESSED_BYTES_PER_TURN))
-        value = decompressor.unconsumed_tail
-        if value:
-            await asyncio.sleep(0)
-    chunks.append(decompressor.flush())
-    if not decompressor.eof:
-        raise zlib.error("the compressed items are incomplete")
-    return b"".join(chunks)
+    stored = StoredItems()
+    for row in rows:
+        await stored.add(row.value)
+    return await stored.decode()
 
 
 def item_hash(item_id: str) -> int:
--- a/packages/ebonylb/src/ebonylb/batches/service.py
+++ b/packages/ebonylb/src/ebonylb/batches/service.py
@@ -9,6 +9,7 @@
 from ..interfaces import Clock
 from ..outcomes import Outcome, Refusal, new_token
 from ..routes import RouteTable
+from .batch_memory import memory_of, text_bytes_of
 from .model import Batch, BatchHeader, ItemResult, Progress
 from .ownership import BatchOwnership
 from .progress_view import BatchProgressView
@@ -19,6 +20,7 @@
 END_TIMEOUT_MS = 1_500.0
 RETRY_MS = 80.0
 STORE_RETRY_AFTER_MS = 500
+NO_MEMORY_RETRY_AFTER_MS = 500
 # Maximum size of one page of results; callers accept at most 1 MB.
 MAX_PAGE_BYTES = 900_000
 
@@ -38,6 +40,13 @@
     "this entry VM cannot reach the store that keeps batches",
     STORE_RETRY_AFTER_MS,
 )
+NO_MEMORY = Refusal(
+    Outcome.NOT_RUN,
+    "memory",
+    "this entry VM has no room for the batch beside the open ones; "
+    "send it to another one",
+    NO_MEMORY_RETRY_AFTER_MS,
+)
 UNKNOWN_BATCH = Refusal(Outcome.NOT_RUN, "no_batch", "no batch has this id")
 STORE_UNCLEAR = Refusal(
     Outcome.MAY_HAVE_RUN,
@@ -84,7 +93,19 @@
         refusal = self.find_refusal(batch.header)
         if refusal is not None:
             return refusal
-        holder, incarnation = self.ownership.holder_choice.choose_holder(batch.header)
+        chosen = self.ownership.holder_choice.choose_holder(batch.header)
+        size = memory_of(batch.header)
+        # Whoever holds it, it is in the memory of this process until it is stored.
+        if chosen is None or not self.ownership.memory.may_accept(size):
+            return NO_MEMORY
+        with self.ownership.memory.hold(size):
+            return await self.store(batch, *chosen, access)
+
+    async def store(
+        self, batch: Batch, holder: str, incarnation: str, access: BatchAccess
+    ) -> Refusal | None:
+        """Store a batch for a holder and start it; see `submit`."""
+        batch_id = batch.header.batch_id
         progress = Progress(
             batch.header,
             holder,
@@ -205,13 +226,17 @@
         current = await self.find(batch_id)
         if isinstance(current, Err):
             return current
-        stored = await self.repository.items(batch_id)
+        memory = self.ownership.memory.budget
+        size = text_bytes_of(current.ok_value.header)
+        if not memory.has_room(size):
+            return Err(NO_MEMORY)
+        with memory.hold(size):
+            stored = await self.repository.item(batch_id, item_id)
         if isinstance(stored, Err):
             return Err(STORE_UNREACHABLE)
-        for item in stored.ok_value:
-            if item.item_id == item_id:
-                return Ok(item.body)
-        return Err(UNKNOWN_BATCH)
+        if stored.ok_value is None:
+            return Err(UNKNOWN_BATCH)
+        return Ok(stored.ok_value.body)
 
     async def end(self, batch_id: str) -> Refusal | None:
         """End a batch.
--- a/packages/ebonylb/src/ebonylb/explain/items.py
+++ b/packages/ebonylb/src/ebonylb/explain/items.py
@@ -3,6 +3,7 @@
 from ..batches import BatchHeader, BatchItem, BatchService
 from ..batches.item_state import ItemState
 from ..batches.placement import ItemPlacement, ItemRequirements
+from ..batches.service import NO_MEMORY
 from ..fleet import ListedServer, ServerStage
 from ..interfaces import Clock
 from ..routes import Route
@@ -44,12 +45,15 @@
             model=question.model,
             min_version=question.min_version,
         )
+        ownership = self.batches.ownership
         refusal = self.batches.find_refusal(header)
+        chosen = ownership.holder_choice.choose_holder(header)
+        if chosen is None:
+            refusal = refusal or NO_MEMORY
         if refusal is not None:
             explanation.refuse(refusal, REFUSED_STATUS)
             return
-        ownership = self.batches.ownership
-        explanation.holder = ownership.holder_choice.choose_holder(header)[0]
+        explanation.holder = chosen[0]
         due_ms = self.clock.monotonic_ms() + route.result_deadline_ms
         need = ownership.runner.requirements_of(
             ItemState(make_item(question)), header, route, due_ms
--- a/packages/ebonylb/src/ebonylb/platform/batch_wire.py
+++ b/packages/ebonylb/src/ebonylb/platform/batch_wire.py
@@ -5,7 +5,14 @@
 import msgspec
 from multidict import CIMultiDict
 
-from ..batches import Batch, BatchHeader, BatchItem, ResultsPage, ScoringRequest
+from ..batches import (
+    Batch,
+    BatchHeader,
+    BatchItem,
+    ResultsPage,
+    ScoringRequest,
+    measure_items,
+)
 from ..outcomes import DECODING_ERRORS
 from ..tasks import in_turns
 from . import wire_names
@@ -118,11 +125,14 @@
     try:
         wire = msgspec.json.decode(body, type=WireBatch)
         items: list[BatchItem] = []
+        held_bytes = 0
         async for raw_items in in_turns(wire.Items, ITEMS_PER_TURN):
-            items.extend(
+            some = [
                 decode_item(item_decoder.decode(raw), host, customer)
                 for raw in raw_items
-            )
+            ]
+            items.extend(some)
+            held_bytes += measure_items(some)
     except DECODING_ERRORS:
         return None
     if len({item.item_id for item in items}) < len(items):
@@ -137,6 +147,7 @@
         min_version=wire.MinVersion,
         groups_wanted=wire.TargetGroups,
         customer=customer or "",
+        held_bytes=held_bytes,
     )
     return Batch(header, tuple(items))
 
--- a/packages/ebonylb/src/ebonylb/service/held_bytes.py
+++ b/packages/ebonylb/src/ebonylb/service/held_bytes.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterator
 
 from ..interfaces import Clock, Metrics
+from ..interfaces.memory import MemoryBudget
 from .incoming_bodies import LARGE_BYTES, IncomingBody, UnsizedUpload
 
 logger = logging.getLogger(__name__)
@@ -90,7 +91,7 @@
         self.set_depth(is_deep=False)
 
 
-class HeldBytes:
+class HeldBytes(MemoryBudget):
     """Counts and bounds what is held for connections that are slow.
 
     Each stream holds at most `STREAM_BYTES` in the write buffer of its caller, and each
@@ -116,9 +117,9 @@
 
     Attributes
     ----------
-    bodies, received, buffered : int
-        Bytes of large bodies that are whole, of large answers that are received, and of
-        write buffers of watched connections.
+    bodies, received, buffered, batches : int
+        Bytes of large bodies that are whole, of large answers that are received, of
+        write buffers of watched connections, and of open batches.
     incoming : set of IncomingBody
         Answers that are being received.
     turn : IncomingBody or None
@@ -136,11 +137,12 @@
     ) -> None:
         self.clock = clock
         self.metrics = metrics
+        self.memory_bytes = memory_bytes
         self.limit_bytes = memory_bytes * HELD_SHARE or math.inf
         self.max_bytes = memory_bytes * MAX_HELD_SHARE or math.inf
         self.received_limit_bytes = memory_bytes * RECEIVED_SHARE or math.inf
         self.idle_timeout_ms = idle_timeout_ms
-        self.bodies = self.received = self.buffered = 0
+        self.bodies = self.received = self.buffered = self.batches = 0
         self.released = asyncio.Event()
         self.incoming: set[IncomingBody] = set()
         self.turn: IncomingBody | None = None
@@ -150,11 +152,12 @@
     @property
     def total(self) -> int:
         """Number of bytes that are held."""
-        return self.bodies + self.received + self.buffered
+        return self.bodies + self.received + self.buffered + self.batches
 
     def has_room(self, size: int) -> bool:
         """Return whether more bytes may be held for slow callers."""
-        return self.bodies + self.buffered + size <= self.limit_bytes
+        held = self.bodies + self.buffered + size
+        return held <= self.limit_bytes and held + self.batches <= self.max_bytes
 
     async def wait_for_upload(self, size: int) -> bool:
         """Wait until a body of a caller may be read; return False if it may not."""
@@ -299,4 +302,5 @@
         return {
             "held.body_bytes": float(self.bodies + self.received),
             "held.buffered_bytes": float(self.buffered),
+            "held.batch_bytes": float(self.batches),
         }
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -131,6 +131,7 @@
                 self.clock,
                 self.metrics,
                 await self.open_control_plane(),
+                self.held,
             )
         )
         self.key_changes = KeyChanges(self.clock)
--- a/packages/ebonylb/src/ebonylb/service/site_components.py
+++ b/packages/ebonylb/src/ebonylb/service/site_components.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from ..batches import (
+    BatchMemory,
     BatchOwnership,
     BatchProgressView,
     BatchRepository,
@@ -348,6 +349,7 @@
             metrics,
             self.bounds.result_retention_ms,
             self.standby,
+            BatchMemory(dependencies.memory),
         )
         self.batch_service = BatchService(
             self.batch_ownership, self.routes, self.progress_view, repository, clock
--- a/packages/ebonylb/src/ebonylb/service/site_dependencies.py
+++ b/packages/ebonylb/src/ebonylb/service/site_dependencies.py
@@ -1,10 +1,11 @@
 """What the components of an entry VM on the users' platform are built from."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..fleet.selector import Locality
 from ..interfaces import Clock, Metrics
 from ..interfaces.control_plane import ControlPlane
+from ..interfaces.memory import MemoryBudget, UnlimitedMemory
 from ..interfaces.relay import RelayClient
 from ..interfaces.row_store import RowStore
 from ..interfaces.server_client import ServerActivity, ServerClient
@@ -33,6 +34,8 @@
         Destination of counters, gauges and durations.
     control_plane : ControlPlane or None
         The platform's API; None if there are no duties towards it.
+    memory : MemoryBudget
+        Memory of the process.
     """
 
     store: RowStore
@@ -43,6 +46,7 @@
     clock: Clock
     metrics: Metrics
     control_plane: ControlPlane | None = None
+    memory: MemoryBudget = field(default_factory=UnlimitedMemory)
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/ebonylb_standins/tests/test_process_ends.py
@@ -0,0 +1,159 @@
+"""Entry VM processes that must not end by themselves, under the platform's limits."""
+
+import asyncio
+import base64
+import contextlib
+import itertools
+import json
+import os
+
+import aiohttp
+import pytest
+
+from ebonylb.batches import rows
+from ebonylb_standins.site.http_site import HttpSite
+from ebonylb_standins.site.memory_limit import MemoryLimit
+
+# Of the smallest entry VMs of the users' sites.
+MEMORY_MB = 170
+TIMEOUT_S = 90.0
+# A trainer sends a refused submission again for about this long.
+SUBMISSION_TIMEOUT_S = 12.0
+# Time after which a request must be served when all entry VMs have returned.
+RECOVERY_S = 12.0
+# An item may be at no backend server for this long before its step counts as stuck.
+HOLDER_TIMEOUT_S = 5.0
+
+
+def make_site(first_ip, entry_vms):
+    """Return a site whose entry VMs have a limit on their memory."""
+    return HttpSite(
+        first_ip=first_ip,
+        entry_vms=entry_vms,
+        settings=(f"Limits.MemoryMb={MEMORY_MB}",),
+    )
+
+
+def encode_batch(batch_id, items, body_bytes):
+    """Return a submission whose items have bodies that cannot be compressed."""
+    return json.dumps(
+        {
+            "Step": 0,
+            "Model": "m",
+            "MinVersion": 1,
+            "TargetGroups": 1,
+            "Items": [
+                {
+                    "Id": f"{batch_id}-{number}",
+                    # As many events as keep the item running until the end of a test.
+                    "Path": f"/batch/{number}/3000",
+                    "Headers": {
+                        "Ebonylb-Model": "m",
+                        "Ebonylb-Token-Usage": "100,2000",
+                        "Ebonylb-Prompt-Prefix": f"ab{number // 4}:100",
+                    },
+                    "Body": base64.b64encode(os.urandom(body_bytes)).decode(),
+                    "Tokens": 2_100,
+                    "Group": f"g{number // 4}",
+                }
+                for number in range(items)
+            ],
+        }
+    ).encode()
+
+
+async def submit(site, batch_id, body):
+    """Submit a batch at one entry VM after the other; return whether it is accepted."""
+    vms = list(site.vms.values())
+    number = int(batch_id[1:])
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(SUBMISSION_TIMEOUT_S):
+            while True:
+                vm = vms[number % len(vms)]
+                number += 1
+                with contextlib.suppress(aiohttp.ClientError, OSError):
+                    status, _, _ = await site.call(
+                        vm, "POST", "/batch/x", batch_id, body
+                    )
+                    if status == 202:
+                        return True
+                    assert status in (502, 503)
+                await asyncio.sleep(0.3)
+    return False
+
+
+async def is_served(site, vm, request_id):
+    """Return whether a plain request is served."""
+    with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+        async with asyncio.timeout(2):
+            status, _, _ = await site.call(
+                vm, "POST", "/ask/1", request_id, b"x", Ebonylb_Deadline_Ms="2000"
+            )
+            return status == 200
+    return False
+
+
+async def find_holder(site, batch_id):
+    """Return the name of the entry VM that holds a batch; wait until there is one."""
+    async with asyncio.timeout(HOLDER_TIMEOUT_S):
+        while True:
+            row = site.store.data.rows[rows.progress_key(batch_id)]
+            holder = rows.decode_progress(row).holder
+            if holder:
+                return holder
+            await asyncio.sleep(0.05)
+
+
+async def read_item_body(site, vm, batch_id, number):
+    """Return the length of an item's body, asked for until an answer has it."""
+    while True:
+        status, body, _ = await site.call(
+            vm, "GET", f"/api/items/{batch_id}?Id={batch_id}-{number}"
+        )
+        if status == 200:
+            return len(body)
+        assert status == 503
+        await asyncio.sleep(0.1)
+
+
+@pytest.mark.xdist_group("process ends")
+class TestMemoryOfBatches:
+    # Guards against processes that are killed one after the other, since open batches
+    # have no bound and move from each to the next, and again after each start.
+    @pytest.mark.parametrize(
+        "batches, items, body_bytes",
+        [(6, 100, 155_000), (12, 100, 100_000), (6, 30_000, 1)],
+        ids=["few large", "many", "small items"],
+    )
+    def test_open_batches_do_not_exceed_the_memory(self, batches, items, body_bytes):
+        async def scenario():
+            async with (
+                asyncio.timeout(TIMEOUT_S),
+                make_site(first_ip=500, entry_vms=3) as site,
+                MemoryLimit(site, MEMORY_MB).watch() as limit,
+            ):
+                bodies = {
+                    f"b{number}": encode_batch(f"b{number}", items, body_bytes)
+                    for number in range(batches)
+                }
+                accepted = await asyncio.gather(
+                    *(submit(site, batch_id, body) for batch_id, body in bodies.items())
+                )
+                # Each of three entry VMs has room for one at least.
+                assert sum(accepted) >= 3
+                assert await is_served(site, site.vms["vm-0"], "before")
+                assert (limit.kills, limit.own_ends) == ([], [])
+                await limit.kill_all()
+                await asyncio.sleep(RECOVERY_S)
+                for name, vm in site.vms.items():
+                    assert await is_served(site, vm, f"after-{name}")
+                accepted_ids = itertools.compress(bodies, accepted)
+                for batch_id in accepted_ids:
+                    assert await find_holder(site, batch_id) in site.vms
+                    for vm in site.vms.values():
+                        size = await read_item_body(site, vm, batch_id, items - 1)
+                        assert size == body_bytes
+                assert (limit.kills, limit.own_ends) == ([], [])
+                assert limit.peak_mb < MEMORY_MB
+
+        asyncio.run(scenario())
