service: SIGHUP does not end a process that starts

Cause: the handler of SIGHUP was set after the start, 0.6 to 1 s after the process began; until then the default action ends it.

Why it works: the main program ignores the signal before it imports anything else; what changes until the handler is set is found by the check of the file every 2 s.

The soak sent the signal only to entry VMs that were ready, so that it could not see this; it sends it to all processes now whose program has begun.

--- a/packages/ebonylb/src/ebonylb/service/site_main.py
+++ b/packages/ebonylb/src/ebonylb/service/site_main.py
@@ -4,48 +4,19 @@
 interface, whose libraries would increase the memory of each process by a fifth.
 """
 
-import asyncio
-import functools
-import os
-import sys
-
-import uvloop
-from result import Err
-
-from ..platform.node_settings import read_node_settings
-from ..telemetry.bounded_logs import configure_bounded_logs
-from .site import run_site
-
-SETTINGS_VARIABLE = "EBONYLB_NODE_FILE"
-DEFAULT_SETTINGS_PATH = "/etc/ebonylb/node.conf"
-EXIT_REFUSED_INPUT = 3
-
-
-def end_process() -> None:
-    """End the process without the interpreter's own clean-up.
-
-    The service has closed its connections by then. The clean-up waits for the threads
-    of the event loop's executor and frees every module, which on a busy machine takes a
-    large part of what is left of the grace period after a pause of the process.
-    """
-    sys.stdout.flush()
-    sys.stderr.flush()
-    os._exit(0)
+import signal
 
 
 def main() -> None:
     """Run the service with the settings file written by the platform."""
-    path = os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_PATH)
-    loaded = read_node_settings(path)
-    if isinstance(loaded, Err):
-        print(loaded.err_value, file=sys.stderr)
-        sys.exit(EXIT_REFUSED_INPUT)
-    settings = loaded.ok_value
-    handler = configure_bounded_logs(settings.name, "info")
-    read_again = functools.partial(read_node_settings, path)
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(run_site(settings, read_again, handler))
-        end_process()
+    # The platform signals that it has changed the settings, also to a process that is
+    # starting, which this would end by default. Imports take most of a start, so that
+    # they come after this. Changes until the handler is set are found by the periodic
+    # check of the file.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from .site_process import run
+
+    run()
 
 
 if __name__ == "__main__":
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
@@ -28,6 +28,7 @@
 MAX_LOG_LINES_IN_ERRORS = 12
 READY_TIMEOUT_S = 60.0  # a start takes 0.5 s on an idle machine, longer on a busy one
 LOOPBACK_NETWORK = ipaddress.IPv4Address("127.0.0.0")
+FIRST_LIBRARY = "msgspec"
 PROGRAM = ("-m", "ebonylb.service.site_main")
 
 
@@ -85,6 +86,16 @@
         """Return whether the process runs."""
         return self.process is not None and self.process.returncode is None
 
+    def has_begun(self) -> bool:
+        """Return whether the process has begun to load the libraries of the service.
+
+        Before that, the interpreter starts, in some 50 ms, and any signal ends it.
+        """
+        with contextlib.suppress(OSError):
+            maps = Path(f"/proc/{self.process.pid}/maps").read_text()
+            return self.is_running() and FIRST_LIBRARY in maps
+        return False
+
     def write_settings(self) -> Path:
         """Write the settings file as the platform does and return its path.
 
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/faults.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/faults.py
@@ -66,10 +66,10 @@
 
 
 async def hangup(site: "SoakSite", rng: random.Random) -> None:
-    """Rewrite the settings files; half of the ready entry VMs get a SIGHUP."""
+    """Rewrite the settings files; half of the processes get a SIGHUP."""
     for vm in site.vms.values():
         vm.write_settings()
-        if rng.random() < 0.5 and site.is_ready(vm):
+        if rng.random() < 0.5 and vm.has_begun():
             vm.send_signal(signal.SIGHUP)
 
 
--- a/packages/ebonylb_standins/src/ebonylb_standins/soak/run.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/soak/run.py
@@ -37,8 +37,6 @@
         name, and details.
     refused_request_ids, refused_batch_ids : set of str
         Requests and batches refused as not run; the checks require that none ran.
-    ready_vm_names : set of str
-        Entry VMs that have reported ready since their last start.
     keys : CustomerKeys
         Keys of the customers, and the requests sent with them.
     platform : FakeControlPlane
@@ -88,10 +86,6 @@
         """Record a failed check."""
         self.failures.append((self.elapsed_s(), check, detail))
 
-    def is_ready(self, vm: EntryVmProcess) -> bool:
-        """Return whether an entry VM has reported ready since its last start."""
-        return vm.name in self.ready_vm_names
-
     async def listen_for_server(self, server: HttpServer) -> str:
         """Serve a server behind a proxy; it loses a share of responses throughout."""
         server.lost_response_share = LOST_RESPONSE_SHARE
@@ -105,18 +99,10 @@
         proxy = FaultProxy(await super().listen_for_store(name), self.random)
         self.store_proxies[name] = await proxy.start()
         self.resources.callback(proxy.close)
-        self.ready_vm_names: set[str] = getattr(self, "ready_vm_names", set())
         return proxy.address
 
-    async def wait_ready(self, vm: EntryVmProcess) -> None:
-        """Wait until an entry VM is ready and record that it is."""
-        await super().wait_ready(vm)
-        self.ready_vm_names.add(vm.name)
-
     async def restart(self, vm: EntryVmProcess) -> None:
         """Start an entry VM again unless another fault has already restarted it."""
-        if not vm.is_running():
-            self.ready_vm_names.discard(vm.name)
         await vm.start()
 
     def save_logs(self, folder: Path, seed: int) -> None:
--- a/packages/ebonylb_standins/tests/test_process_ends.py
+++ b/packages/ebonylb_standins/tests/test_process_ends.py
@@ -6,6 +6,7 @@
 import itertools
 import json
 import os
+import signal
 
 import aiohttp
 import pytest
@@ -157,3 +158,28 @@
                 assert limit.peak_mb < MEMORY_MB
 
         asyncio.run(scenario())
+
+
+@pytest.mark.xdist_group("process ends")
+class TestStart:
+    # Guards against processes that a change of the settings ends while they start.
+    def test_sighup_does_not_end_a_process_that_starts(self):
+        async def scenario():
+            async with (
+                asyncio.timeout(TIMEOUT_S),
+                make_site(first_ip=500, entry_vms=1) as site,
+            ):
+                vm = site.vms["vm-0"]
+                await vm.kill()
+                await vm.start()
+                while not vm.has_begun():  # noqa: ASYNC110 - the state has no event
+                    await asyncio.sleep(0.001)
+                ready = asyncio.create_task(site.wait_ready(vm))
+                while not ready.done():
+                    assert vm.is_running(), vm.process.returncode
+                    vm.send_signal(signal.SIGHUP)
+                    await asyncio.sleep(0.01)
+                await ready
+                assert await is_served(site, vm, "after-sighup")
+
+        asyncio.run(scenario())
--- a/packages/ebonylb_standins/tests/test_processes.py
+++ b/packages/ebonylb_standins/tests/test_processes.py
@@ -119,7 +119,7 @@
 import asyncio, time
 from unittest import mock
 from result import Ok
-from ebonylb.service import site_main
+from ebonylb.service import site_process
 
 async def run_site(settings, read_again, handler):
     asyncio.get_running_loop().run_in_executor(None, time.sleep, {BLOCKED_S})
@@ -128,9 +128,9 @@
 settings = mock.Mock()
 settings.ok_value.name = "vm"
 with mock.patch.multiple(
-    site_main, run_site=run_site, read_node_settings=lambda path: Ok(settings)
+    site_process, run_site=run_site, read_node_settings=lambda path: Ok(settings)
 ):
-    site_main.main()
+    site_process.run()
 """
 
         async def scenario():
