service: an address in use does not end a process

Cause: the start ended with the exception of the first socket that could not be bound.

Why it works: each socket is tried every 100 ms until it is open, in a background task; the others are open at once. Without its socket for callers an entry VM isn't ready.

--- a/packages/ebonylb/src/ebonylb/service/readiness.py
+++ b/packages/ebonylb/src/ebonylb/service/readiness.py
@@ -21,6 +21,8 @@
         Number of caller requests in progress.
     followers : list of TableFollower
         Followers that must be up to date.
+    is_listening : bool
+        Whether callers can connect.
     standby : Standby or None
         Tells whether other entry VMs reach servers that this one does not.
     """
@@ -30,6 +32,7 @@
         self.clock = clock
         self.followers: list[TableFollower] = []
         self.leaving = False
+        self.is_listening = True
         self.in_progress = 0
         self.standby: Standby | None = None
 
@@ -41,6 +44,7 @@
         """Return whether the balancer should send new connections."""
         return (
             not self.leaving
+            and self.is_listening
             and self.has_configuration()
             and self.is_store_current()
             and not self.is_on_standby()
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -43,6 +43,7 @@
 from .duty_components import DutyPlan
 from .entry_vm_state import describe_state
 from .held_bytes import HeldBytes
+from .listeners import Listeners
 from .memory_watch import MemoryWatch
 from .metrics_handler import MetricsHandler
 from .readiness import Readiness
@@ -306,6 +307,11 @@
             self.components.relay_receiver.serve, self.held
         )
         self.origin_handler = OriginHandler(self.components.stream_origins)
+        listeners = Listeners(
+            self.readiness,
+            lambda name, run: self.start_background_tasks({name: run}),
+            self.clock,
+        )
         for handler, address, max_bytes in (
             (ingress.handle, self.settings.caller_address, MAX_BODY_BYTES),
             (ingress.handle_ready, self.settings.ready_address, MAX_BODY_BYTES),
@@ -332,8 +338,7 @@
                 self.caller_drain = CallerDrain(
                     runner, self.readiness, self.uploads, self.clock
                 )
-            host, port = address.rsplit(":", 1)
-            await web.TCPSite(runner, host, int(port), backlog=512).start()
+            await listeners.open(runner, address, handler == ingress.handle)
 
     async def handle_relayed(self, request: web.BaseRequest) -> web.StreamResponse:
         """Respond to a request of another entry VM."""
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/http_site.py
@@ -133,11 +133,10 @@
         """
         async with self.start_lock:
             if not self.is_running():
-                await self.launch()
+                await self.launch(self.write_settings())
 
-    async def launch(self) -> None:
-        """Start the process without checking whether one is running."""
-        path = self.write_settings()
+    async def launch(self, path: Path) -> None:
+        """Start the process with a settings file, whether or not one is running."""
         with (self.folder / f"{self.name}.log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
--- a/packages/ebonylb_standins/tests/test_process_ends.py
+++ b/packages/ebonylb_standins/tests/test_process_ends.py
@@ -7,11 +7,13 @@
 import json
 import os
 import signal
+import socket
 
 import aiohttp
 import pytest
 
 from ebonylb.batches import rows
+from ebonylb.platform.node_settings import METRICS_PORT
 from ebonylb_standins.site.http_site import HttpSite
 from ebonylb_standins.site.memory_limit import MemoryLimit
 
@@ -22,6 +24,10 @@
 SUBMISSION_TIMEOUT_S = 12.0
 # Time after which a request must be served when all entry VMs have returned.
 RECOVERY_S = 12.0
+ADDRESS_IN_USE_S = 2.5
+RETRY_TIMEOUT_S = 2.0
+# After the start of a process, which takes some time to read its settings.
+SETTINGS_DELAY_S = 1.2
 # An item may be at no backend server for this long before its step counts as stuck.
 HOLDER_TIMEOUT_S = 5.0
 
@@ -105,6 +111,21 @@
             await asyncio.sleep(0.05)
 
 
+async def read_readiness(site, vm):
+    """Return the status of a readiness check."""
+    async with site.http.get(f"http://{vm.ready_address}/api/ready") as response:
+        return response.status
+
+
+async def read_metrics(site, vm):
+    """Read the metrics page, again until there is one."""
+    while True:
+        with contextlib.suppress(aiohttp.ClientError, OSError):
+            await site.read_metrics(vm)
+            return
+        await asyncio.sleep(0.05)
+
+
 async def read_item_body(site, vm, batch_id, number):
     """Return the length of an item's body, asked for until an answer has it."""
     while True:
@@ -183,3 +204,39 @@
                 assert await is_served(site, vm, "after-sighup")
 
         asyncio.run(scenario())
+
+    # Guards against a process that ends, again at each start, since an address is in
+    # use for a moment, and against callers who wait for one that they don't need.
+    @pytest.mark.parametrize("name", ["callers", "readiness", "relay", "metrics"])
+    def test_an_address_in_use_does_not_end_a_process(self, name):
+        async def scenario():
+            async with (
+                asyncio.timeout(TIMEOUT_S),
+                make_site(first_ip=500, entry_vms=1) as site,
+            ):
+                vm = site.vms["vm-0"]
+                await vm.kill()
+                address = {
+                    "callers": vm.front_address,
+                    "readiness": vm.ready_address,
+                    "relay": f"{vm.ip}:{vm.relay_port}",
+                    "metrics": f"{vm.ip}:{METRICS_PORT}",
+                }[name]
+                host, port = address.split(":")
+                with socket.create_server((host, int(port))):
+                    await vm.start()
+                    if name in ("relay", "metrics"):
+                        await site.wait_ready(vm)
+                        assert await is_served(site, vm, "meanwhile")
+                    else:
+                        await asyncio.sleep(ADDRESS_IN_USE_S)
+                    assert vm.is_running(), vm.process.returncode
+                    if name == "callers":
+                        assert await read_readiness(site, vm) == 503
+                await site.wait_ready(vm)
+                assert await is_served(site, vm, "after")
+                if name == "metrics":
+                    async with asyncio.timeout(RETRY_TIMEOUT_S):
+                        await read_metrics(site, vm)
+
+        asyncio.run(scenario())
