service: a start waits for settings that are being written

Cause: the file was read once, and anything but a valid one ended the process with exit code 3 (1 for bytes that are no text, and for a row size that is no number).

Why it works: the file is read again every 50 ms for 2 s; what is invalid for longer is refused as before, with its key.

--- a/packages/ebonylb/src/ebonylb/platform/node_settings.py
+++ b/packages/ebonylb/src/ebonylb/platform/node_settings.py
@@ -45,7 +45,7 @@
     """Read and validate the settings; the error names the invalid or missing key."""
     try:
         values = parse_lines(Path(path).read_text())
-    except OSError as error:
+    except (OSError, UnicodeError) as error:
         return Err(f"{path}: cannot be read: {error}")
     bounds: dict[str, Any] = {}
     for wire_name, (field_name, factor) in BOUND_FIELDS.items():
@@ -81,8 +81,11 @@
         first_port = values.get("PortRange", "").partition(",")[0]
         if first_port.isdecimal():
             fields["relay_address"] = f"{values['Ip']}:{first_port}"
-    if (row_bytes := values.get("Platform.RowBytes")) is not None:
-        fields["row_bytes"] = int(row_bytes)
+    if (text := values.get("Platform.RowBytes")) is not None:
+        try:
+            fields["row_bytes"] = int(text)
+        except ValueError:
+            return Err(f"{path}: Platform.RowBytes={text!r} is not a whole number")
     if (text := values.get("Limits.MemoryMb")) is not None:
         try:
             fields["memory_bytes"] = max(0, int(float(text) * BYTES_PER_MB))
--- a/packages/ebonylb/src/ebonylb/service/site_process.py
+++ b/packages/ebonylb/src/ebonylb/service/site_process.py
@@ -4,17 +4,22 @@
 import functools
 import os
 import sys
+import time
 
 import uvloop
-from result import Err
+from result import Err, Ok, Result
 
 from ..platform.node_settings import read_node_settings
 from ..telemetry.bounded_logs import configure_bounded_logs
 from .site import run_site
+from .site_settings import SiteSettings
 
 SETTINGS_VARIABLE = "EBONYLB_NODE_FILE"
 DEFAULT_SETTINGS_PATH = "/etc/ebonylb/node.conf"
 EXIT_REFUSED_INPUT = 3
+# The platform may be writing the file while the process starts.
+SETTINGS_TIMEOUT_S = 2.0
+SETTINGS_RETRY_S = 0.05
 
 
 def end_process() -> None:
@@ -29,10 +34,20 @@
     os._exit(0)
 
 
+def wait_for_settings(path: str) -> Result[SiteSettings, str]:
+    """Read the settings file, for a while again if it is not there or not valid."""
+    deadline_s = time.monotonic() + SETTINGS_TIMEOUT_S
+    while True:
+        loaded = read_node_settings(path)
+        if isinstance(loaded, Ok) or time.monotonic() >= deadline_s:
+            return loaded
+        time.sleep(SETTINGS_RETRY_S)
+
+
 def run() -> None:
     """Run the service with the settings file written by the platform."""
     path = os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS_PATH)
-    loaded = read_node_settings(path)
+    loaded = wait_for_settings(path)
     if isinstance(loaded, Err):
         print(loaded.err_value, file=sys.stderr)
         sys.exit(EXIT_REFUSED_INPUT)
--- a/packages/ebonylb_standins/tests/test_process_ends.py
+++ b/packages/ebonylb_standins/tests/test_process_ends.py
@@ -240,3 +240,27 @@
                         await read_metrics(site, vm)
 
         asyncio.run(scenario())
+
+    # Guards against a process that ends since its settings are being written.
+    @pytest.mark.parametrize("share", [None, 0.0, 0.5], ids=["none", "empty", "half"])
+    def test_a_start_waits_for_settings_that_are_being_written(self, share):
+        async def scenario():
+            async with (
+                asyncio.timeout(TIMEOUT_S),
+                make_site(first_ip=500, entry_vms=1) as site,
+            ):
+                vm = site.vms["vm-0"]
+                await vm.kill()
+                path = vm.write_settings()
+                text = path.read_text()
+                if share is None:
+                    path.unlink()
+                else:
+                    path.write_text(text[: round(len(text) * share)])
+                await vm.launch(path)
+                await asyncio.sleep(SETTINGS_DELAY_S)
+                path.write_text(text)
+                await site.wait_ready(vm)
+                assert await is_served(site, vm, "after")
+
+        asyncio.run(scenario())
