batches: a holder keeps the last results of its batch only

The texts of a job can be larger than its items, and a takeover read them all at once, so that a job with long texts would end its holder and then each one that takes it over.

Cause: the holder kept all results from the first on to answer reads, without a bound, and a new holder read all of them, to know which items are finished.

Evidence: by reading. The test shows, on virtual time, that a holder keeps what fits into the bound, also after a takeover, and that earlier texts are read all the same. Not measured with real processes.

A takeover goes through the pages of results and keeps the ids and the last texts.

test_batch_memory.py TestResults.

--- a/packages/ebonylb/src/ebonylb/batches/commits.py
+++ b/packages/ebonylb/src/ebonylb/batches/commits.py
@@ -12,6 +12,7 @@
 from . import rows
 from .item_state import ItemState
 from .model import ItemResult, Progress
+from .recent_results import RecentResults
 from .repository import BatchRepository, StoredProgress
 
 logger = logging.getLogger(__name__)
@@ -50,8 +51,10 @@
 
     Attributes
     ----------
-    results, pending_results : list of ItemResult
-        Stored results in the order of their positions, and those to be stored.
+    results : RecentResults
+        Stored results.
+    pending_results : list of ItemResult
+        Results to be stored.
     attempted_commits : dict of str to list of ItemResult
         Results in commits whose outcome is not known, by the token of the write.
     """
@@ -71,7 +74,7 @@
         self.metrics = metrics
         self.report_progress = report_progress
         self.row_bytes = row_bytes
-        self.results: list[ItemResult] = []
+        self.results = RecentResults()
         self.pending_results: list[ItemResult] = []
         self.attempted_commits: dict[str, list[ItemResult]] = {}
 
--- a/packages/ebonylb/src/ebonylb/batches/holder.py
+++ b/packages/ebonylb/src/ebonylb/batches/holder.py
@@ -21,7 +21,8 @@
     Progress,
     are_versions_allowed,
 )
-from .repository import BatchRepository, StoredProgress
+from .recent_results import RecentResults
+from .repository import BatchContent, BatchRepository, StoredProgress
 
 logger = logging.getLogger(__name__)
 
@@ -115,18 +116,16 @@
         return self.commits.progress
 
     @property
-    def results(self) -> list[ItemResult]:
-        """Stored results in the order of their positions."""
+    def results(self) -> RecentResults:
+        """Stored results that are kept in memory."""
         return self.commits.results
 
-    def restore(
-        self, results: tuple[ItemResult, ...], partials: dict[str, Partial]
-    ) -> None:
+    def restore(self, content: BatchContent) -> None:
         """Resume from the results and checkpoints that earlier holders have stored."""
-        self.commits.results = list(results)
-        for result in results:
-            self.unstarted.pop(result.item_id, None)
-        for item_id, partial in partials.items():
+        self.commits.results = content.recent_results
+        for item_id in content.finished_ids:
+            self.unstarted.pop(item_id, None)
+        for item_id, partial in content.partials.items():
             if item_id in self.unstarted and self.can_use(partial):
                 self.state_of(item_id).restore(partial)
 
--- a/packages/ebonylb/src/ebonylb/batches/ownership.py
+++ b/packages/ebonylb/src/ebonylb/batches/ownership.py
@@ -307,9 +307,9 @@
             )
             if holder is None:
                 return
-            holder.restore(content.results, content.partials)
+            holder.restore(content)
             self.holders[batch_id] = holder
-            if not content.results and not content.partials:
+            if not content.finished_ids and not content.partials:
                 await self.output_reuse.reuse(holder, claimed.previous_hashes)
         finally:
             self.claiming_ids.discard(batch_id)
--- a/packages/ebonylb/src/ebonylb/batches/repository.py
+++ b/packages/ebonylb/src/ebonylb/batches/repository.py
@@ -25,6 +25,7 @@
 from ..storage.store_time import StoreTime
 from . import rows
 from .model import Batch, BatchItem, ItemResult, Partial, Progress
+from .recent_results import RecentResults
 
 logger = logging.getLogger(__name__)
 
@@ -51,10 +52,23 @@
 
 @dataclass(frozen=True, slots=True)
 class BatchContent:
-    """Items, results and unfinished items of a batch."""
+    """What is needed to resume a batch.
+
+    Parameters
+    ----------
+    items : tuple of BatchItem
+        All items.
+    finished_ids : list of str
+        Items with a result, in the order of the positions of their results.
+    recent_results : RecentResults
+        The last results. All texts of a batch may take more memory than its items.
+    partials : dict of str to Partial
+        Stored events of unfinished items.
+    """
 
     items: tuple[BatchItem, ...]
-    results: tuple[ItemResult, ...]
+    finished_ids: list[str]
+    recent_results: RecentResults
     partials: dict[str, Partial]
 
 
@@ -261,6 +275,34 @@
             if whole or not page.ok_value.has_more:
                 return Ok(await rows.decode_results(whole))
 
+    @report_unreadable
+    async def finished(
+        self, batch_id: str
+    ) -> Result[tuple[list[str], RecentResults], StepError]:
+        """Read which items have results, page by page, and keep the last results."""
+        start, end = rows.key_range(batch_id, "0")
+        partition = rows.partition_of(batch_id)
+        finished_ids: list[str] = []
+        recent = RecentResults()
+        rest: list[StoredRow] = []
+        while True:
+            page = await self.store.read_page(rows.RESULTS_TABLE, partition, start, end)
+            if isinstance(page, Err):
+                return page
+            whole, rest = [*rest, *page.ok_value.rows], []
+            is_last = not page.ok_value.has_more or not page.ok_value.rows
+            if not is_last:
+                start = next_key(page.ok_value.rows[-1].row_key.key)
+                # The last result may continue in the next page.
+                last = rows.value_of(whole[-1])
+                rest = [row for row in whole if rows.value_of(row) == last]
+                whole = whole[: -len(rest)]
+            results = await rows.decode_results(whole)
+            finished_ids.extend(result.item_id for result in results)
+            recent.extend(results)
+            if is_last:
+                return Ok((finished_ids, recent))
+
     @report_unreadable
     async def items(self, batch_id: str) -> Result[tuple[BatchItem, ...], StepError]:
         """Read the items of a batch."""
@@ -305,15 +347,13 @@
 
     async def content(self, batch_id: str) -> Result[BatchContent, StepError]:
         """Read everything that is needed to resume a batch."""
-        items, results, partials = await asyncio.gather(
-            self.items(batch_id), self.results(batch_id, 0), self.partials(batch_id)
+        items, finished, partials = await asyncio.gather(
+            self.items(batch_id), self.finished(batch_id), self.partials(batch_id)
         )
-        for result in (items, results, partials):
+        for result in (items, finished, partials):
             if isinstance(result, Err):
                 return result
-        return Ok(
-            BatchContent(items.ok_value, tuple(results.ok_value), partials.ok_value)
-        )
+        return Ok(BatchContent(items.ok_value, *finished.ok_value, partials.ok_value))
 
     @report_unreadable
     async def item_hashes(self, batch_id: str) -> Result[frozenset[int], StepError]:
--- a/packages/ebonylb/src/ebonylb/batches/service.py
+++ b/packages/ebonylb/src/ebonylb/batches/service.py
@@ -202,9 +202,8 @@
         if progress.listed <= after and not progress.ended and wait_ms > 0:
             await self.progress_view.wait_for_result(batch_id, after, wait_ms)
         holder = self.ownership.holders.get(batch_id)
-        if holder is not None and len(holder.results) > after:
-            results = holder.results[after:]
-        else:
+        results = holder.results.since(after) if holder is not None else []
+        if not results:
             stored = await self.repository.next_results(batch_id, after)
             if isinstance(stored, Err):
                 return Err(STORE_UNREACHABLE)
--- a/packages/ebonylb/src/ebonylb/batches/takeover.py
+++ b/packages/ebonylb/src/ebonylb/batches/takeover.py
@@ -165,7 +165,7 @@
             extra={
                 "batch": batch_id,
                 "from": stored.progress.holder,
-                "listed": len(content.results),
+                "listed": len(content.finished_ids),
                 "partials": len(content.partials),
                 "elapsed_ms": round(self.clock.monotonic_ms() - started_ms),
             },
--- a/packages/ebonylb/tests/test_batch_memory.py
+++ b/packages/ebonylb/tests/test_batch_memory.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ebonylb.adapters.memory_metrics import InMemoryMetrics
-from ebonylb.batches import Batch, BatchMemory
+from ebonylb.batches import Batch, BatchMemory, ItemResult, recent_results
 from ebonylb.batches.batch_memory import (
     ITEM_BYTES,
     UNKNOWN_ITEM_BYTES,
@@ -13,9 +13,10 @@
     memory_of,
     text_bytes_of,
 )
+from ebonylb.batches.recent_results import MAX_BYTES, RESULT_BYTES, RecentResults
 from ebonylb.service.held_bytes import HeldBytes
 from ebonylb_standins.histories.virtual_time import run_virtual
-from ebonylb_standins.site.world import World
+from ebonylb_standins.site.world import World, read_all
 
 MEMORY_BYTES = 170_000_000
 FREE_BYTES = 110_000_000
@@ -148,3 +149,44 @@
     return type(header)(
         **{n: getattr(header, n) for n in header.__struct_fields__} | fields
     )
+
+
+class TestResults:
+    def result(self, number, size):
+        return ItemResult(f"i{number}", True, "x" * size, (1,))
+
+    def test_the_last_results_are_kept(self):
+        results = RecentResults()
+        results.extend(self.result(n, 100_000) for n in range(50))
+        kept = MAX_BYTES // (100_000 + RESULT_BYTES)
+        assert (len(results.results), results.first) == (kept, 50 - kept)
+        assert [r.item_id for r in results.since(48)] == ["i48", "i49"]
+        assert results.since(50 - kept)[0].item_id == f"i{50 - kept}"
+        assert results.since(50 - kept - 1) == results.since(50) == []
+
+    def test_one_large_result_is_kept(self):
+        results = RecentResults()
+        results.extend([self.result(0, 5), self.result(1, 3 * MAX_BYTES)])
+        assert [r.item_id for r in results.since(1)] == ["i1"]
+
+    # Guards against a holder whose memory grows with all texts of its batch, and which
+    # reads them all when it takes the batch over.
+    def test_texts_that_are_not_kept_are_read_from_the_store(self, monkeypatch):
+        monkeypatch.setattr(recent_results, "MAX_BYTES", 4_000)
+
+        async def scenario():
+            world = World()
+            vms = [world.start(name) for name in ("a", "b")]
+            await world.clock.sleep_ms(500)
+            assert await vms[0].batches.submit(world.batch("b", [20] * 40)) is None
+            await read_all(vms[0], "b", 10)
+            before = (await vms[0].batches.read("b", 0, 0)).ok_value.results
+            vms[0].stop()
+            await world.clock.sleep_ms(4_000)
+            holder = vms[1].ownership.holders.get("b")
+            assert holder is None or holder.results.size <= 4_000 + 2 * RESULT_BYTES
+            after = await read_all(vms[1], "b", 40)
+            assert after[: len(before)] == before
+            assert len({r.item_id for r in after}) == 40
+
+        run_virtual(scenario())
