adapters: an idle connection keeps no body in memory

Cause: the loop of a connection refers to its last request and response until the next request begins. The request holds its whole body (its reader caches it), or what had arrived of a body that was not read; the response holds its own. HeldBytes had given them free.

Why it works: when a response has been sent, the body of the request, what has arrived of the rest, and the body of the response are dropped.

--- a/packages/ebonylb/src/ebonylb/adapters/http_server.py
+++ b/packages/ebonylb/src/ebonylb/adapters/http_server.py
@@ -11,6 +11,16 @@
 logger = logging.getLogger(__name__)
 
 
+class CallerHttpRequest(web.BaseRequest):
+    """Request whose body is forgotten once it is answered."""
+
+    def forget_body(self) -> None:
+        """Drop what was read of the body, and what has arrived of the rest."""
+        self._read_bytes = None
+        if self.content.exception() is None:
+            self.content.read_nowait()
+
+
 class DiscreetRequestHandler(RequestHandler):
     """Connection whose parser errors name the kind of error only.
 
@@ -20,6 +30,23 @@
 
     __slots__ = ()
 
+    async def finish_response(
+        self,
+        request: web.BaseRequest,
+        resp: web.StreamResponse,
+        start_time: float | None,
+    ) -> tuple[web.StreamResponse, bool]:
+        """Send a response, and forget the body of the request and its own.
+
+        The connection refers to both until its next request.
+        """
+        sent = await super().finish_response(request, resp, start_time)
+        if isinstance(request, CallerHttpRequest):
+            request.forget_body()
+        if isinstance(resp, web.Response):
+            resp.body = None
+        return sent
+
     def handle_error(
         self,
         request: web.BaseRequest,
--- a/packages/ebonylb/src/ebonylb/platform/request_reading.py
+++ b/packages/ebonylb/src/ebonylb/platform/request_reading.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 from aiohttp.web_exceptions import HTTPRequestEntityTooLarge
 
+from ..adapters.http_server import CallerHttpRequest
 from ..service.incoming_bodies import NoRoomError, UnsizedUpload
 
 # Maximum size of a body; the limit in the configuration never exceeds it.
@@ -24,7 +25,7 @@
 ) -> web.BaseRequest:
     """Return an aiohttp request that accepts bodies of up to `max_bytes`."""
     loop = asyncio.get_running_loop()
-    return web.BaseRequest(
+    return CallerHttpRequest(
         message,
         payload,
         protocol,
--- a/packages/ebonylb_standins/tests/test_process_ends.py
+++ b/packages/ebonylb_standins/tests/test_process_ends.py
@@ -14,7 +14,7 @@
 
 from ebonylb.batches import rows
 from ebonylb.platform.node_settings import METRICS_PORT
-from ebonylb_standins.site.http_site import HttpSite
+from ebonylb_standins.site.http_site import HOST, HttpSite
 from ebonylb_standins.site.memory_limit import MemoryLimit
 
 # Of the smallest entry VMs of the users' sites.
@@ -25,6 +25,8 @@
 # Time after which a request must be served when all entry VMs have returned.
 RECOVERY_S = 12.0
 ADDRESS_IN_USE_S = 2.5
+LARGE_UPLOADS = 8
+LARGE_UPLOAD_BYTES = 20_000_000
 RETRY_TIMEOUT_S = 2.0
 # After the start of a process, which takes some time to read its settings.
 SETTINGS_DELAY_S = 1.2
@@ -264,3 +266,47 @@
                 assert await is_served(site, vm, "after")
 
         asyncio.run(scenario())
+
+
+def encode_head(path, request_id, *lines):
+    """Return the head of a request without the empty line that ends it."""
+    fields = (
+        f"POST {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"Ebonylb-Request-Id: {request_id}",
+        "Ebonylb-Deadline-Ms: 8000",
+        *lines,
+    )
+    return "".join(f"{line}\r\n" for line in fields).encode()
+
+
+async def connect(vm):
+    """Open a connection for callers."""
+    host, port = vm.front_address.split(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+@pytest.mark.xdist_group("process ends")
+class TestMemoryOfConnections:
+    # Guards against bodies that stay in memory after their answers, as long as their
+    # connections are open.
+    @pytest.mark.parametrize("path", ["/ask/1", "/unknown/1"], ids=["sent", "refused"])
+    def test_an_idle_connection_keeps_no_body(self, path):
+        async def scenario():
+            async with (
+                asyncio.timeout(TIMEOUT_S),
+                make_site(first_ip=500, entry_vms=1) as site,
+                MemoryLimit(site, MEMORY_MB).watch() as limit,
+            ):
+                connections = []
+                for number in range(LARGE_UPLOADS):
+                    reader, writer = await connect(site.vms["vm-0"])
+                    length = f"Content-Length: {LARGE_UPLOAD_BYTES}"
+                    head = encode_head(path, f"q{number}", length)
+                    writer.write(head + b"\r\n" + bytes(LARGE_UPLOAD_BYTES))
+                    assert (await reader.readline()).startswith(b"HTTP/1.1 ")
+                    connections.append(writer)
+                assert (limit.kills, limit.own_ends) == ([], [])
+                assert await is_served(site, site.vms["vm-0"], "after")
+
+        asyncio.run(scenario())
