held bytes: uploads that wait for room have a bound

Cause: only what had room was counted; any number of uploads could wait.

Why it works: uploads may wait for as many bytes as may be held; others are refused as not run at once, which also tells their callers sooner.

--- a/packages/ebonylb/src/ebonylb/service/held_bytes.py
+++ b/packages/ebonylb/src/ebonylb/service/held_bytes.py
@@ -24,6 +24,9 @@
 # Part of it that answers may take while they are received, before one at a time is
 # read on.
 RECEIVED_SHARE = 0.0625
+# Part of it that uploads may have which wait for room. What has arrived of them is in
+# memory already; further ones are refused at once.
+WAITING_SHARE = 0.25
 # Time that an upload waits for room.
 MAX_WAIT_MS = 1_500.0
 # Time for which one answer is read on alone while others wait, which have to have their
@@ -120,6 +123,8 @@
     bodies, received, buffered, batches : int
         Bytes of large bodies that are whole, of large answers that are received, of
         write buffers of watched connections, and of open batches.
+    waiting : int
+        Bytes of uploads that wait for room.
     incoming : set of IncomingBody
         Answers that are being received.
     turn : IncomingBody or None
@@ -140,6 +145,8 @@
         self.memory_bytes = memory_bytes
         self.limit_bytes = memory_bytes * HELD_SHARE or math.inf
         self.max_bytes = memory_bytes * MAX_HELD_SHARE or math.inf
+        self.waiting_limit_bytes = memory_bytes * WAITING_SHARE or math.inf
+        self.waiting = 0
         self.received_limit_bytes = memory_bytes * RECEIVED_SHARE or math.inf
         self.idle_timeout_ms = idle_timeout_ms
         self.bodies = self.received = self.buffered = self.batches = 0
@@ -164,6 +171,17 @@
         if size < LARGE_BYTES or self.has_room(size):
             return True
         self.metrics.incr("held.waits")
+        if self.waiting + size > self.waiting_limit_bytes:
+            self.metrics.incr("held.refused")
+            return False
+        self.waiting += size
+        try:
+            return await self.wait_for_room(size)
+        finally:
+            self.waiting -= size
+
+    async def wait_for_room(self, size: int) -> bool:
+        """Wait until there is room; return False if there is none in time."""
         end_ms = self.clock.monotonic_ms() + MAX_WAIT_MS
         while not self.has_room(size):
             if self.clock.monotonic_ms() >= end_ms:
--- a/packages/ebonylb/tests/test_held_bytes.py
+++ b/packages/ebonylb/tests/test_held_bytes.py
@@ -398,3 +398,24 @@
             assert held.total == 0
 
         run(scenario())
+
+
+class TestManyConnections:
+    """Load pattern: more than fits, on connections that each have a small part of it."""
+
+    # Guards against uploads that wait for room while what has arrived takes it.
+    def test_uploads_that_would_wait_beside_many_others_are_refused_at_once(self):
+        async def scenario():
+            held = make_held(4_000_000, clock=LoopClock())
+            with held.hold(1_000_000):
+                upload = held.wait_for_upload
+                waits = [asyncio.create_task(upload(250_000)) for _ in range(4)]
+                await held.clock.sleep_ms(1)
+                began_ms = held.clock.monotonic_ms()
+                assert not await held.wait_for_upload(70_000)
+                assert held.clock.monotonic_ms() == began_ms
+                assert await held.wait_for_upload(1_000)
+            assert await asyncio.gather(*waits)
+            assert held.waiting == 0
+
+        run_virtual(scenario())
--- a/packages/ebonylb_standins/tests/test_process_ends.py
+++ b/packages/ebonylb_standins/tests/test_process_ends.py
@@ -6,6 +6,7 @@
 import itertools
 import json
 import os
+import resource
 import signal
 import socket
 
@@ -25,6 +26,8 @@
 # Time after which a request must be served when all entry VMs have returned.
 RECOVERY_S = 12.0
 ADDRESS_IN_USE_S = 2.5
+CONNECTIONS = 1_500
+BODY_BYTES = 60_000
 LARGE_UPLOADS = 8
 LARGE_UPLOAD_BYTES = 20_000_000
 RETRY_TIMEOUT_S = 2.0
@@ -268,6 +271,18 @@
         asyncio.run(scenario())
 
 
+@contextlib.contextmanager
+def many_descriptors():
+    """Let this process, and those that it starts, open many connections."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = max(soft, min(hard, 2 * CONNECTIONS + 1_000))
+    resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
 def encode_head(path, request_id, *lines):
     """Return the head of a request without the empty line that ends it."""
     fields = (
@@ -286,6 +301,19 @@
     return await asyncio.open_connection(host, int(port))
 
 
+async def send_on_many_connections(vm, encode):
+    """Send something on each of many connections, and keep them open."""
+    connections = []
+    for number in range(CONNECTIONS):
+        with contextlib.suppress(OSError):
+            reader, writer = await connect(vm)
+            writer.write(encode(number))
+            connections.append((reader, writer))
+        if number % 50 == 0:
+            await asyncio.sleep(0.02)
+    return connections
+
+
 @pytest.mark.xdist_group("process ends")
 class TestMemoryOfConnections:
     # Guards against bodies that stay in memory after their answers, as long as their
@@ -310,3 +338,28 @@
                 assert await is_served(site, site.vms["vm-0"], "after")
 
         asyncio.run(scenario())
+
+    # Guards against a process that is killed for what many connections have sent of
+    # requests that do not end, or that wait for a server.
+    @pytest.mark.parametrize("name", ["half bodies", "whole bodies"])
+    def test_many_connections_do_not_exceed_the_memory(self, name):
+        def encode(number):
+            length = BODY_BYTES if name == "whole bodies" else BODY_BYTES + 4_000
+            head = encode_head("/book/3000", f"q{number}", f"Content-Length: {length}")
+            return head + b"\r\n" + bytes(BODY_BYTES)
+
+        async def scenario():
+            async with (
+                asyncio.timeout(TIMEOUT_S),
+                make_site(first_ip=500, entry_vms=1) as site,
+                MemoryLimit(site, MEMORY_MB).watch() as limit,
+            ):
+                vm = site.vms["vm-0"]
+                connections = await send_on_many_connections(vm, encode)
+                assert (limit.kills, limit.own_ends) == ([], [])
+                assert await is_served(site, vm, "beside")
+                for _, writer in connections:
+                    writer.transport.abort()
+
+        with many_descriptors():
+            asyncio.run(scenario())
