adapters: incomplete heads of requests have a bound

Nothing else bounds them but the 60 s of an idle connection.

Cause: bytes of a head count nowhere until it is complete.

Why it works: bytes that belong to no complete head are counted for all connections together. Above 0.06 of the memory limit the connections are closed whose head began first; a head that arrives whole never counts.

--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -14,7 +14,7 @@
 
 from ..adapters.clock import SystemClock
 from ..adapters.connections import StrictConnector
-from ..adapters.http_server import DiscreetServer
+from ..adapters.http_server import DiscreetServer, IncompleteHeads
 from ..adapters.memory_metrics import InMemoryMetrics
 from ..adapters.origin_http import HttpOriginClient, OriginHandler
 from ..adapters.relay_http import HttpRelayClient, RelayHandler
@@ -72,6 +72,9 @@
 UPLOAD_GRACE_SHARE = 0.6
 # A caller's body with its headers, as another entry VM passes them on.
 MAX_RELAYED_BYTES = MAX_BODY_BYTES + 1_048_576
+# Part of the memory limit for heads of requests that are incomplete. A head takes twice
+# its bytes.
+HEADS_SHARE = 0.06
 # For requests still in progress when the servers close; the default of aiohttp is 60 s.
 LAST_REQUESTS_TIMEOUT_S = 0.3
 # For the last writes of usage counts, out of the time left before SIGKILL.
@@ -307,6 +310,9 @@
             self.components.relay_receiver.serve, self.held
         )
         self.origin_handler = OriginHandler(self.components.stream_origins)
+        heads = IncompleteHeads(
+            HEADS_SHARE * self.settings.memory_bytes or float("inf")
+        )
         listeners = Listeners(
             self.readiness,
             lambda name, run: self.start_background_tasks({name: run}),
@@ -323,6 +329,7 @@
             server = DiscreetServer(
                 handler,
                 self.components.key_check.may_get_keys,
+                heads,
                 request_factory=functools.partial(make_request, max_bytes=max_bytes),
                 handler_cancellation=True,
                 keepalive_timeout=CALLER_KEEPALIVE_S,
--- a/packages/ebonylb/tests/test_held_bytes.py
+++ b/packages/ebonylb/tests/test_held_bytes.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from ebonylb.adapters.clock import SystemClock
+from ebonylb.adapters.http_server import DiscreetServer, IncompleteHeads
 from ebonylb.adapters.memory_metrics import InMemoryMetrics
 from ebonylb.forwarding import CallerResponse, CallerStream
 from ebonylb.interfaces.server_client import ServerAddress, ServerRequest
@@ -419,3 +420,66 @@
             assert held.waiting == 0
 
         run_virtual(scenario())
+
+    def serve(self, heads):
+        """Return a context of the address of a server whose heads are bounded."""
+
+        async def handle(request):
+            return web.Response(body=await request.read())
+
+        @contextlib.asynccontextmanager
+        async def context():
+            server = DiscreetServer(handle, lambda: False, heads, access_log=None)
+            runner = web.ServerRunner(server)
+            await runner.setup()
+            await web.TCPSite(runner, "127.0.0.1", 0).start()
+            yield runner.addresses[0][:2]
+            await runner.cleanup()
+
+        return context()
+
+    # Guards against heads that do not end and take the memory of the process.
+    def test_the_oldest_incomplete_heads_are_closed(self):
+        async def scenario():
+            heads = IncompleteHeads(10_000)
+            async with self.serve(heads) as address:
+                callers = []
+                for _ in range(3):
+                    callers.append(await asyncio.open_connection(*address))
+                    callers[-1][1].write(b"GET / HTTP/1.1\r\nA: " + b"a" * 4_000)
+                    await until(
+                        lambda: heads.total >= 4_000 * min(2, len(callers)), 1_000
+                    )
+                assert await asyncio.wait_for(callers[0][0].read(), 1) == b""
+                for reader, writer in callers[1:]:
+                    writer.write(b"\r\nHost: h\r\n\r\n")
+                    assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+                assert heads.total == 0
+                assert not heads.connections
+                for _, writer in callers:
+                    writer.transport.abort()
+
+        asyncio.run(scenario())
+
+    # Guards against bodies that are taken for heads, so that their callers are cut off.
+    def test_bodies_do_not_count_as_heads(self):
+        async def scenario():
+            heads = IncompleteHeads(1_000)
+            body = b"x" * 40_000
+            async with self.serve(heads) as address:
+                reader, writer = await asyncio.open_connection(*address)
+                for _ in range(3):
+                    writer.write(
+                        b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 40000\r\n"
+                    )
+                    await asyncio.sleep(0.01)
+                    writer.write(b"\r\n" + body[:10_000])
+                    await asyncio.sleep(0.01)
+                    writer.write(body[10_000:])
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    assert head.startswith(b"HTTP/1.1 200")
+                    assert await reader.readexactly(len(body)) == body
+                    assert heads.total == 0
+                writer.transport.abort()
+
+        asyncio.run(scenario())
--- a/packages/ebonylb_standins/tests/test_process_ends.py
+++ b/packages/ebonylb_standins/tests/test_process_ends.py
@@ -341,9 +341,12 @@
 
     # Guards against a process that is killed for what many connections have sent of
     # requests that do not end, or that wait for a server.
-    @pytest.mark.parametrize("name", ["half bodies", "whole bodies"])
+    @pytest.mark.parametrize("name", ["heads", "half bodies", "whole bodies"])
     def test_many_connections_do_not_exceed_the_memory(self, name):
         def encode(number):
+            if name == "heads":
+                lines = (f"A{n}: {'a' * 7_000}" for n in range(8))
+                return encode_head("/book/3000", f"q{number}", *lines)
             length = BODY_BYTES if name == "whole bodies" else BODY_BYTES + 4_000
             head = encode_head("/book/3000", f"q{number}", f"Content-Length: {length}")
             return head + b"\r\n" + bytes(BODY_BYTES)
