--- a/packages/ebonylb/tests/test_held_bytes.py
+++ b/packages/ebonylb/tests/test_held_bytes.py
@@ -402,7 +402,7 @@
 
 
 class TestManyConnections:
-    """Load pattern: more than fits, on connections that each have a small part of it."""
+    """Load pattern: more than fits, on connections that each have a part of it."""
 
     # Guards against uploads that wait for room while what has arrived takes it.
     def test_uploads_that_would_wait_beside_many_others_are_refused_at_once(self):
