batches: batches that are taken over are read one after the other

Cause: what a takeover reads counted with the items that stay, but not while it exists beside them. A process that starts again takes over all that it held at the same time, so that three jobs existed twice.

Why it works: what is read counts, and where it has no room the batches are read one after the other.

--- a/packages/ebonylb/src/ebonylb/batches/batch_memory.py
+++ b/packages/ebonylb/src/ebonylb/batches/batch_memory.py
@@ -2,8 +2,9 @@
 
 import contextlib
 import math
-from collections.abc import Iterable, Iterator
+from collections.abc import AsyncIterator, Iterable, Iterator
 
+from ..interfaces import Clock
 from ..interfaces.memory import MemoryBudget
 from .model import BatchHeader, BatchItem
 
@@ -21,6 +22,7 @@
 ITEM_BYTES = 1_500
 # For batches of earlier versions of this program, which do not state their size.
 UNKNOWN_ITEM_BYTES = 2_000
+READ_RETRY_MS = 50.0
 
 
 def measure_items(items: Iterable[BatchItem]) -> int:
@@ -61,10 +63,13 @@
     ----------
     free_bytes : float
         What batches and the work of single requests share.
+    reads : int
+        Number of batches that are read now.
     """
 
     def __init__(self, budget: MemoryBudget) -> None:
         self.budget = budget
+        self.reads = 0
         limit_bytes = budget.memory_bytes or math.inf
         self.free_bytes = max(MIN_FREE_SHARE * limit_bytes, limit_bytes - PROCESS_BYTES)
 
@@ -83,6 +88,23 @@
         share = TAKEN_OVER_SHARE if taken else SINGLE_BATCH_SHARE
         return taken + size <= share * self.free_bytes
 
+    @contextlib.asynccontextmanager
+    async def reading(self, header: BatchHeader, clock: Clock) -> AsyncIterator[None]:
+        """Count what is read of a batch, beside its items, while it is taken over.
+
+        Where there is no room, batches are read one after the other: an entry VM that
+        starts again may take over all that it held at the same time.
+        """
+        size = text_bytes_of(header)
+        while self.reads and not self.budget.has_room(size):
+            await clock.sleep_ms(READ_RETRY_MS)
+        self.reads += 1
+        try:
+            with self.budget.hold(size):
+                yield
+        finally:
+            self.reads -= 1
+
     @contextlib.contextmanager
     def hold(self, size: int) -> Iterator[None]:
         """Count a batch while it is held."""
--- a/packages/ebonylb/src/ebonylb/batches/ownership.py
+++ b/packages/ebonylb/src/ebonylb/batches/ownership.py
@@ -298,7 +298,8 @@
                 if self.is_held_here(stored.progress):
                     await self.takeover.write_release(stored)
                 return
-            claimed = await self.takeover.claim_content(stored, confirm_first)
+            async with self.memory.reading(stored.progress.header, self.clock):
+                claimed = await self.takeover.claim_content(stored, confirm_first)
             if claimed is None:
                 return
             content = claimed.content
--- a/packages/ebonylb/tests/test_batch_memory.py
+++ b/packages/ebonylb/tests/test_batch_memory.py
@@ -1,5 +1,6 @@
 """Memory that open batches may take."""
 
+import asyncio
 import math
 
 import pytest
@@ -15,7 +16,7 @@
 )
 from ebonylb.batches.recent_results import MAX_BYTES, RESULT_BYTES, RecentResults
 from ebonylb.service.held_bytes import HeldBytes
-from ebonylb_standins.histories.virtual_time import run_virtual
+from ebonylb_standins.histories.virtual_time import LoopClock, run_virtual
 from ebonylb_standins.site.world import World, read_all
 
 MEMORY_BYTES = 170_000_000
@@ -80,6 +81,33 @@
         assert held.has_room(size)
         assert held.total == 0
 
+    # Guards against batches that are all read at once by a process that starts again.
+    def test_batches_are_read_one_after_the_other_where_there_is_no_room(self):
+        async def scenario():
+            clock = LoopClock()
+            held, memory = self.make()
+            header = World().batch("b", [4] * 3).header
+            header = replace_header(header, held_bytes=3 * ITEM_BYTES + 30_000_000)
+            most, now = 0, 0
+
+            async def read():
+                nonlocal most, now
+                async with memory.reading(header, clock):
+                    now += 1
+                    most = max(most, now)
+                    await clock.sleep_ms(100)
+                    now -= 1
+
+            await asyncio.gather(*(read() for _ in range(3)))
+            assert (most, memory.reads, held.total) == (1, 0, 0)
+            with memory.hold(60_000_000):
+                await read()
+            header = replace_header(header, held_bytes=3 * ITEM_BYTES + 10_000_000)
+            await asyncio.gather(*(read() for _ in range(3)))
+            assert most == 3
+
+        run_virtual(scenario())
+
 
 class TestEntryVms:
     def test_a_batch_goes_to_the_entry_vm_that_has_room(self):
