--- a/packages/ebonylb_standins/tests/test_process_ends.py
+++ b/packages/ebonylb_standins/tests/test_process_ends.py
@@ -336,6 +336,8 @@
                     connections.append(writer)
                 assert (limit.kills, limit.own_ends) == ([], [])
                 assert await is_served(site, site.vms["vm-0"], "after")
+                for writer in connections:
+                    writer.transport.abort()
 
         asyncio.run(scenario())
 
