--- /dev/null
+++ b/review/standins-3/engine_replica.py
@@ -0,0 +1,145 @@
+"""Model replica that streams events over HTTP/1.1 as the pages say."""
+
+import asyncio
+import contextlib
+import json
+import time
+
+from small_site import make_message, read_message
+
+BORN_MS = int(time.time() * 1000)
+
+
+class EngineReplica:
+    """Runs up to `slots` streams at once and refuses those beyond.
+
+    A run ends when its connection closes. `runs` keeps for each run its id, its first event,
+    and the times at which it began and ended.
+    """
+
+    def __init__(self, name, service, zone, record, models, slots=8, event_s=0.033):
+        self.name, self.service, self.zone = name, service, zone
+        self.record, self.models, self.slots, self.event_s = record, models, slots, event_s
+        self.running = 0
+        self.sequence = 0
+        self.runs = []
+        self.server = None
+        self.writers = set()
+
+    async def start(self, site):
+        """Listen on a free port, and register in the store."""
+        self.site = site
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
+        site.resources.callback(self.server.close)
+        self.register("ready")
+
+    def register(self, state):
+        """Write the entry of this replica in the list."""
+        self.site.put("servers", self.name, {
+            "Service": self.service, "Address": self.address, "Zone": self.zone,
+            "Version": "v1", "Slots": self.slots, "State": state, "ColdRemainingMs": 0,
+            "Sequence": 1, "born": BORN_MS,
+            "Models": [{"Name": m, "Version": v} for m, v in self.models.items()],
+        })
+
+    def stop(self):
+        """Exit: refuse connections and close those that are open."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
+
+    async def serve(self, reader, writer):
+        """Serve one connection, one request at a time."""
+        self.writers.add(writer)
+        try:
+            while True:
+                line, fields, body = await read_message(reader)
+                method, path, _ = line.split(" ", 2)
+                if path == "/api/report":
+                    writer.write(self.report(fields))
+                elif path == "/api/order":
+                    writer.write(self.order(fields, json.loads(body)))
+                else:
+                    await self.answer(path, fields, reader, writer)
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            with contextlib.suppress(OSError):
+                writer.close()
+
+    def is_for_another(self, fields):
+        return fields.get("ebonylb-expect-instance") not in (None, self.name)
+
+    def report(self, fields):
+        if self.is_for_another(fields):
+            return make_message("HTTP/1.1 421 Misdirected", {})
+        state = {
+            "Stage": "prefill_decode", "Busy": False, "Sequence": self.sequence,
+            "Models": [{"Name": m, "Version": v, "Adapters": []} for m, v in self.models.items()],
+            "NumWaiting": 0, "NumRunning": self.running, "KvUsed": 0, "KvTotal": 90000,
+            "Handles": 0,
+        }
+        head = {"Content-Type": "application/json"}
+        return make_message("HTTP/1.1 200 OK", head, json.dumps(state).encode())
+
+    def order(self, fields, order):
+        if self.is_for_another(fields):
+            return make_message("HTTP/1.1 421 Misdirected", {})
+        if self.models.get(order["Model"]) == order["Version"]:
+            return make_message("HTTP/1.1 200 OK", {})
+        self.sequence += 1
+        self.models[order["Model"]] = order["Version"]
+        return make_message("HTTP/1.1 202 Accepted", {})
+
+    def load(self):
+        return {"Ebonylb-Server-Load": f"{self.running},0,{self.slots},100"}
+
+    async def answer(self, path, fields, reader, writer):
+        """Run or refuse one request; the last part of its path is the number of events."""
+        request_id = fields.get("ebonylb-request-id", "")
+        head = {"Ebonylb-Request-Id": request_id, **self.load()}
+        refusal = None
+        if self.is_for_another(fields):
+            refusal = "HTTP/1.1 421 Misdirected"
+        elif self.running >= self.slots:
+            refusal = "HTTP/1.1 503 Busy"
+        if refusal is not None:
+            self.record.add("refused", replica=self.name, id=request_id, answer=refusal)
+            writer.write(make_message(refusal, head | {"Ebonylb-Not-Executed": "1"}))
+            return
+        first = int(fields.get("last-event-id", 0)) + 1
+        total = int(path.rsplit("/", 1)[-1])
+        version = self.models[fields.get("ebonylb-model", next(iter(self.models)))]
+        head |= {
+            "Ebonylb-Response-Seal": f"seal.{self.name}.{request_id}",
+            "Ebonylb-Weight-Versions": version,
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+        }
+        lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in head.items())]
+        run = {"id": request_id, "first": first, "began_s": time.monotonic(), "ended_s": None}
+        self.runs.append(run)
+        self.running += 1
+        self.record.add("run begins", replica=self.name, id=request_id, first_event=first)
+        closed = asyncio.ensure_future(reader.read(1)) if self.event_s else None
+        try:
+            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+            for number in range(first, total + 1):
+                await asyncio.wait([closed], timeout=self.event_s)
+                if closed.done():
+                    raise ConnectionResetError
+                event = f"id: {number}\ndata: {request_id}/{number}\n\n".encode()
+                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+                await writer.drain()
+            writer.write(b"0\r\n\r\n")
+            closed.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await closed
+            self.record.add("run complete", replica=self.name, id=request_id)
+        finally:
+            closed.cancel()
+            run["ended_s"] = time.monotonic()
+            self.running -= 1
