--- a/review/standins-3/engine_replica.py
+++ b/review/standins-3/engine_replica.py
@@ -14,9 +14,15 @@
     """Runs up to `slots` streams at once and refuses those beyond.
 
     A run ends when its connection closes. `runs` keeps for each run its id, its first event,
-    and the times at which it began and ended.
+    and the times at which it began and ended. With `copy_share`, that share of its complete
+    streams has a second copy, which is sent where the next answer on the connection is
+    expected, before that answer.
     """
 
+    copy_share = 0.0
+    random = None
+    copies = 0
+
     def __init__(self, name, service, zone, record, models, slots=8, event_s=0.033):
         self.name, self.service, self.zone = name, service, zone
         self.record, self.models, self.slots, self.event_s = record, models, slots, event_s
@@ -52,16 +58,25 @@
     async def serve(self, reader, writer):
         """Serve one connection, one request at a time."""
         self.writers.add(writer)
+        late_copy = b""
         try:
             while True:
                 line, fields, body = await read_message(reader)
                 method, path, _ = line.split(" ", 2)
+                if late_copy:
+                    writer.write(late_copy)
+                    self.copies += 1
+                    self.record.add("late copy of an earlier answer sent", replica=self.name,
+                                    before_answer_to=fields.get("ebonylb-request-id"))
+                    late_copy = b""
                 if path == "/api/report":
                     writer.write(self.report(fields))
                 elif path == "/api/order":
                     writer.write(self.order(fields, json.loads(body)))
                 else:
-                    await self.answer(path, fields, reader, writer)
+                    answer = await self.answer(path, fields, reader, writer)
+                    if self.copy_share and self.random.random() < self.copy_share:
+                        late_copy = answer
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
             pass
@@ -108,8 +123,9 @@
             refusal = "HTTP/1.1 503 Busy"
         if refusal is not None:
             self.record.add("refused", replica=self.name, id=request_id, answer=refusal)
-            writer.write(make_message(refusal, head | {"Ebonylb-Not-Executed": "1"}))
-            return
+            refusal = make_message(refusal, head | {"Ebonylb-Not-Executed": "1"})
+            writer.write(refusal)
+            return refusal
         first = int(fields.get("last-event-id", 0)) + 1
         total = int(path.rsplit("/", 1)[-1])
         version = self.models[fields.get("ebonylb-model", next(iter(self.models)))]
@@ -124,22 +140,26 @@
         self.runs.append(run)
         self.running += 1
         self.record.add("run begins", replica=self.name, id=request_id, first_event=first)
-        closed = asyncio.ensure_future(reader.read(1)) if self.event_s else None
+        sent = []
+
+        async def send(data):
+            sent.append(data)
+            writer.write(data)
+            await writer.drain()
+
+        outcome = "run ended by a closed connection"
         try:
-            writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+            await send(("\r\n".join(lines) + "\r\n\r\n").encode())
             for number in range(first, total + 1):
-                await asyncio.wait([closed], timeout=self.event_s)
-                if closed.done():
+                await asyncio.sleep(self.event_s)
+                if reader.at_eof():
                     raise ConnectionResetError
                 event = f"id: {number}\ndata: {request_id}/{number}\n\n".encode()
-                writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-                await writer.drain()
-            writer.write(b"0\r\n\r\n")
-            closed.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await closed
-            self.record.add("run complete", replica=self.name, id=request_id)
+                await send(b"%x\r\n%s\r\n" % (len(event), event))
+            await send(b"0\r\n\r\n")
+            outcome = "run complete"
         finally:
-            closed.cancel()
             run["ended_s"] = time.monotonic()
             self.running -= 1
+            self.record.add(outcome, replica=self.name, id=request_id)
+        return b"".join(sent)
