--- a/review/standins-3/engine_replica.py
+++ b/review/standins-3/engine_replica.py
@@ -20,12 +20,15 @@
     """
 
     copy_share = 0.0
+    event_text = ""
     random = None
     copies = 0
 
-    def __init__(self, name, service, zone, record, models, slots=8, event_s=0.033):
+    def __init__(self, name, service, zone, record, models, slots=8, event_s=0.033,
+                 prefill_s=0.0):
         self.name, self.service, self.zone = name, service, zone
         self.record, self.models, self.slots, self.event_s = record, models, slots, event_s
+        self.prefill_s = prefill_s
         self.running = 0
         self.sequence = 0
         self.runs = []
@@ -55,6 +58,12 @@
         for writer in list(self.writers):
             writer.close()
 
+    def crash(self):
+        """End at once: open connections are reset, and none is accepted."""
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     async def serve(self, reader, writer):
         """Serve one connection, one request at a time."""
         self.writers.add(writer)
@@ -149,12 +158,13 @@
 
         outcome = "run ended by a closed connection"
         try:
+            await asyncio.sleep(self.prefill_s)
             await send(("\r\n".join(lines) + "\r\n\r\n").encode())
             for number in range(first, total + 1):
                 await asyncio.sleep(self.event_s)
-                if reader.at_eof():
+                if reader.at_eof() or writer.transport.is_closing():
                     raise ConnectionResetError
-                event = f"id: {number}\ndata: {request_id}/{number}\n\n".encode()
+                event = f"id: {number}\ndata: {request_id}/{number}{self.event_text}\n\n".encode()
                 await send(b"%x\r\n%s\r\n" % (len(event), event))
             await send(b"0\r\n\r\n")
             outcome = "run complete"
