--- a/review/standins-3/engine_replica.py
+++ b/review/standins-3/engine_replica.py
@@ -8,6 +8,7 @@
 from small_site import make_message, read_message
 
 BORN_MS = int(time.time() * 1000)
+LOAD_S = 0.9
 
 
 class EngineReplica:
@@ -21,8 +22,13 @@
 
     copy_share = 0.0
     event_text = ""
+    # Requests whose paths begin so crash a replica that begins to run them.
+    poison = ""
     random = None
     copies = 0
+    # Time after which a replica is back that a request has crashed.
+    back_after_s = 3.0
+    crashes = 0
 
     def __init__(self, name, service, zone, record, models, slots=8, event_s=0.033,
                  prefill_s=0.0):
@@ -31,9 +37,13 @@
         self.prefill_s = prefill_s
         self.running = 0
         self.sequence = 0
+        self.loading = False
+        self.state = "ready"
         self.runs = []
         self.server = None
         self.writers = set()
+        self.base_name, self.born_ms = name, BORN_MS
+        self.returns = set()
 
     async def start(self, site):
         """Listen on a free port, and register in the store."""
@@ -45,10 +55,11 @@
 
     def register(self, state):
         """Write the entry of this replica in the list."""
+        self.state = state
         self.site.put("servers", self.name, {
             "Service": self.service, "Address": self.address, "Zone": self.zone,
             "Version": "v1", "Slots": self.slots, "State": state, "ColdRemainingMs": 0,
-            "Sequence": 1, "born": BORN_MS,
+            "Sequence": 1, "born": self.born_ms,
             "Models": [{"Name": m, "Version": v} for m, v in self.models.items()],
         })
 
@@ -64,6 +75,24 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def crash_and_return(self):
+        """Crash, and be back some seconds later as a new incarnation."""
+        self.crashes += 1
+        self.record.add("crashes", replica=self.name)
+        self.crash()
+        task = asyncio.ensure_future(self.come_back(self.name))
+        self.returns.add(task)
+        task.add_done_callback(self.returns.discard)
+
+    async def come_back(self, old_name):
+        await asyncio.sleep(self.back_after_s)
+        self.site.store.data.put("servers", old_name, None)
+        self.running = 0
+        self.name = f"{self.base_name}.{self.crashes}"
+        self.born_ms = int(time.time() * 1000)
+        await self.start(self.site)
+        self.record.add("is back", replica=self.name)
+
     async def serve(self, reader, writer):
         """Serve one connection, one request at a time."""
         self.writers.add(writer)
@@ -87,7 +116,8 @@
                     if self.copy_share and self.random.random() < self.copy_share:
                         late_copy = answer
                 await writer.drain()
-        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError,
+                asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
@@ -101,7 +131,7 @@
         if self.is_for_another(fields):
             return make_message("HTTP/1.1 421 Misdirected", {})
         state = {
-            "Stage": "prefill_decode", "Busy": False, "Sequence": self.sequence,
+            "Stage": "prefill_decode", "Busy": self.loading, "Sequence": self.sequence,
             "Models": [{"Name": m, "Version": v, "Adapters": []} for m, v in self.models.items()],
             "NumWaiting": 0, "NumRunning": self.running, "KvUsed": 0, "KvTotal": 90000,
             "Handles": 0,
@@ -110,13 +140,28 @@
         return make_message("HTTP/1.1 200 OK", head, json.dumps(state).encode())
 
     def order(self, fields, order):
+        """Accept an order to load a version, which takes 0.9 s."""
+        status = "202 Accepted"
         if self.is_for_another(fields):
-            return make_message("HTTP/1.1 421 Misdirected", {})
-        if self.models.get(order["Model"]) == order["Version"]:
-            return make_message("HTTP/1.1 200 OK", {})
-        self.sequence += 1
-        self.models[order["Model"]] = order["Version"]
-        return make_message("HTTP/1.1 202 Accepted", {})
+            status = "421 Misdirected"
+        elif self.loading or order.get("Expected", self.sequence) != self.sequence:
+            status = "409 Conflict"
+        elif self.models.get(order["Model"]) == order["Version"]:
+            status = "200 OK"
+        self.record.add("order", replica=self.name, version=order["Version"],
+                        holder=order["Holder"], answer=status)
+        if status.startswith("202"):
+            self.sequence += 1
+            self.loading = True
+            asyncio.get_running_loop().call_later(
+                LOAD_S, self.finish_load, order["Model"], order["Version"]
+            )
+        return make_message(f"HTTP/1.1 {status}", {})
+
+    def finish_load(self, model, version):
+        self.loading = False
+        self.models[model] = version
+        self.register(self.state)
 
     def load(self):
         return {"Ebonylb-Server-Load": f"{self.running},0,{self.slots},100"}
@@ -128,13 +173,19 @@
         refusal = None
         if self.is_for_another(fields):
             refusal = "HTTP/1.1 421 Misdirected"
-        elif self.running >= self.slots:
+        elif self.running >= self.slots or self.loading:
             refusal = "HTTP/1.1 503 Busy"
         if refusal is not None:
             self.record.add("refused", replica=self.name, id=request_id, answer=refusal)
             refusal = make_message(refusal, head | {"Ebonylb-Not-Executed": "1"})
             writer.write(refusal)
             return refusal
+        if self.poison and path.startswith(self.poison):
+            self.record.add("run begins", replica=self.name, id=request_id, poison=True)
+            self.runs.append({"id": request_id, "first": 1, "began_s": time.monotonic(),
+                              "ended_s": time.monotonic()})
+            self.crash_and_return()
+            raise ConnectionResetError
         first = int(fields.get("last-event-id", 0)) + 1
         total = int(path.rsplit("/", 1)[-1])
         version = self.models[fields.get("ebonylb-model", next(iter(self.models)))]
--- a/review/standins-3/plain_replica.py
+++ b/review/standins-3/plain_replica.py
@@ -58,7 +58,8 @@
                 writer.write(answer)
                 await writer.drain()
                 late_copy = answer if self.random.random() < self.copy_share else b""
-        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError,
+                asyncio.CancelledError):
             pass
         finally:
             with contextlib.suppress(OSError):
