--- a/Makefile
+++ b/Makefile
@@ -50,6 +50,7 @@
 bench: setup
 	$(BIN)/python -m ebonylb_standins.bench --seeds 5 --json bench.json
 	$(BIN)/python -m ebonylb_standins.bench.large_jobs
+	$(BIN)/python -m ebonylb_standins.bench.refused_connections
 
 clean:
 	rm -rf $(VENV)
--- a/packages/ebonylb/src/ebonylb/adapters/connections.py
+++ b/packages/ebonylb/src/ebonylb/adapters/connections.py
@@ -9,11 +9,15 @@
 """
 
 import asyncio
+import contextlib
 import functools
+from collections import deque
+from collections.abc import Iterator
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.helpers import set_exception
+from aiohttp.tracing import Trace
 
 from ..interfaces.server_client import ServerActivity
 from .response_heads import HeadCheck, MalformedHeadError
@@ -21,6 +25,9 @@
 # Bytes that a connection accepts without a byte of a body: the head of a response with
 # its interim responses, or chunk extensions and trailers.
 MAX_BYTES_WITHOUT_BODY = 65_536
+# A second copy of a response comes before the response to the next request on its
+# connection. The others are a margin.
+REMEMBERED_REQUESTS = 16
 
 
 class StrictConnection(ResponseHandler):
@@ -37,6 +44,8 @@
         Number of bytes received since the last byte of a body.
     head_check : HeadCheck
         Check of the head of the current response.
+    recent_ids : deque of (str or None)
+        Ids of the last requests on this connection; None for one without an id.
     """
 
     bytes_without_body = 0
@@ -47,6 +56,7 @@
         super().__init__(loop)
         self.activity = activity
         self.head_check = HeadCheck()
+        self.recent_ids: deque[str | None] = deque(maxlen=REMEMBERED_REQUESTS)
 
     def set_response_params(self, **options: object) -> None:
         """Prepare for the response to the next request."""
@@ -130,15 +140,61 @@
     It accepts the parameters of `aiohttp.TCPConnector` and must be created in a
     running event loop.
 
+    Parameters
+    ----------
+    id_header : str
+        Header with the id of a request, which servers repeat in the response. Two
+        requests with one id, or without an id, are not sent on one connection soon
+        after each other: a late copy of the first response would be taken as the
+        second one. Empty if the servers of this connector send no copies.
+
     Attributes
     ----------
     activity : ServerActivity
         Time of the last byte on any connection.
     """
 
-    def __init__(self, **options: object) -> None:
+    def __init__(self, id_header: str = "", **options: object) -> None:
         super().__init__(**options)
+        self.id_header = id_header
         self.activity = ServerActivity()
         self._factory = functools.partial(
             StrictConnection, asyncio.get_running_loop(), self.activity
         )
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> aiohttp.connector.Connection:
+        """Return a connection, kept or new, that may carry a request."""
+        if not self.id_header:
+            return await super().connect(req, traces, timeout)
+        request_id = req.headers.get(self.id_header)
+        with self.hide_carriers(req.connection_key, request_id):
+            connection = await super().connect(req, traces, timeout)
+        connection.protocol.recent_ids.append(request_id)
+        return connection
+
+    @contextlib.contextmanager
+    def hide_carriers(
+        self, key: aiohttp.client_reqrep.ConnectionKey, request_id: str | None
+    ) -> Iterator[None]:
+        """Take idle connections that have carried an id out of the pool for a while.
+
+        They return with the times of their last use, since servers close connections
+        that are idle too long.
+        """
+        idle = self._conns.get(key, ())
+        hidden = [entry for entry in idle if request_id in entry[0].recent_ids]
+        for entry in hidden:
+            idle.remove(entry)
+        try:
+            yield
+        finally:
+            if self.closed:
+                for connection, _ in hidden:
+                    connection.close()
+            elif hidden:
+                self._conns[key].extendleft(reversed(hidden))
--- a/packages/ebonylb/src/ebonylb/forwarding/attempt.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/attempt.py
@@ -115,8 +115,6 @@
         condition.backoff_until_ms = now + BUSY_BACKOFF_MS
         if head.wrong_server:
             condition.record_failure(now)
-        # Closed without reading the body: the request may be sent to this server again,
-        # and a late copy of this refusal would then look like the response to that.
         return AttemptResult(
             AttemptOutcome.NOT_RUN,
             server,
--- a/packages/ebonylb/src/ebonylb/service/site.py
+++ b/packages/ebonylb/src/ebonylb/service/site.py
@@ -115,7 +115,9 @@
     async def start(self) -> None:
         """Build the components, start following the store, and listen."""
         store_session = await self.open_session()
-        server_session = await self.open_session(trace_connections())
+        server_session = await self.open_session(
+            trace_connections(), wire_names.REQUEST_ID
+        )
         relay_session = await self.open_session(trace_connections())
         self.store = PlatformRowStore(store_session, self.settings.store_address)
         self.held = HeldBytes(
@@ -191,10 +193,17 @@
             self.tasks.append(asyncio.create_task(supervised))
 
     async def open_session(
-        self, tracing: aiohttp.TraceConfig | None = None
+        self, tracing: aiohttp.TraceConfig | None = None, id_header: str = ""
     ) -> aiohttp.ClientSession:
-        """Open an HTTP session for outgoing requests."""
+        """Open an HTTP session for outgoing requests.
+
+        Parameters
+        ----------
+        id_header : str
+            Header in which servers repeat the id of a request; empty if they don't.
+        """
         connector = StrictConnector(
+            id_header,
             limit=0,
             keepalive_timeout=SERVER_KEEPALIVE_S,
             socket_factory=create_keepalive_socket,
--- a/packages/ebonylb/tests/test_connections.py
+++ b/packages/ebonylb/tests/test_connections.py
@@ -23,6 +23,7 @@
     VersionOrder,
 )
 from ebonylb.outcomes import StepError
+from ebonylb.platform import wire_names
 from ebonylb.platform.servers import HttpServerClient, trace_connections
 from ebonylb.platform.sockets import create_keepalive_socket
 from ebonylb.platform.store import PlatformRowStore
@@ -31,6 +32,7 @@
 
 ORDER = VersionOrder("m", 2, "keep", "vm", 1, 0)
 REUSES = 2_000
+KEEPALIVE_S = 8.0
 
 
 def run(scenario):
@@ -88,7 +90,9 @@
 
     server = await asyncio.start_server(handle_safely, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()[:2]
-    connector = StrictConnector(limit=0, keepalive_timeout=8.0)
+    connector = StrictConnector(
+        wire_names.REQUEST_ID, limit=0, keepalive_timeout=KEEPALIVE_S
+    )
     async with (
         server,
         aiohttp.ClientSession(
@@ -402,6 +406,58 @@
 
         run(scenario())
 
+    # Guards against a run whose caller is told that nothing ran (review/11).
+    def test_a_late_copy_of_a_refusal_is_not_the_answer_to_the_second_sending(self):
+        """The copy has the id of the second sending, which the server runs."""
+
+        async def scenario():
+            refused = []
+
+            async def handle(reader, writer):
+                late_copy = b""
+                while request_id := await read_request_id(reader):
+                    writer.write(late_copy)
+                    late_copy = b""
+                    if refused:
+                        writer.write(answer(request_id))
+                        continue
+                    refused.append(request_id)
+                    late_copy = refusal(request_id)
+                    writer.write(late_copy)
+
+            for others in range(3):
+                refused.clear()
+                async with serving(handle) as (client, address):
+                    opened = await client.open(address, make_request("q"))
+                    assert opened.ok_value.head.not_run
+                    opened.ok_value.close()
+                    for number in range(others):
+                        await fetch(client, address, f"other {number}")
+                    assert await fetch(client, address, "q") == b"ok"
+
+        run(scenario())
+
+    # Guards against a report that is older than the order before it (review/11).
+    def test_a_late_copy_of_a_report_is_not_the_next_report(self):
+        """Reports have no id by which a copy could be told from the next one."""
+
+        async def scenario():
+            async def handle(reader, writer):
+                late_copy = b""
+                while True:
+                    await read_request_id(reader)
+                    report = b'{"Sequence": %d}' % next(orders)
+                    writer.write(late_copy + answer(None, report))
+                    late_copy = answer(None, report)
+
+            orders = iter(range(5))
+            async with serving(handle) as (client, address):
+                for accepted_orders in range(5):
+                    report = await client.read_report(address)
+                    assert report.ok_value.accepted_orders == accepted_orders
+
+        run(scenario())
+
     def test_a_sound_connection_is_reused(self):
         async def scenario():
             connections = []
