--- a/packages/ebonylb/src/ebonylb/forwarding/request_runs.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/request_runs.py
@@ -12,6 +12,7 @@
 from ..routes import RouteKind
 from .attempt import (
     MIN_SERVER_ERROR_STATUS,
+    SUCCESS_STATUSES,
     AttemptOutcome,
     AttemptResult,
     is_unverified_success,
@@ -145,6 +146,8 @@
             state.causes.append(f"{server.name}: {result.cause}")
         if result.connection_lost:
             await self.pool.record_lost_connection(state, server)
+        if result.response is not None and result.response.status in SUCCESS_STATUSES:
+            self.strikes.record_completed(state.fingerprint)
         return result
 
     async def run_idempotent(self, state: RequestState) -> CallerResponse:
--- a/packages/ebonylb/src/ebonylb/forwarding/strikes.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/strikes.py
@@ -2,15 +2,16 @@
 
 import asyncio
 import logging
+import random
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Coroutine, Sequence
+from dataclasses import dataclass
 
 from result import Err
-from xxhash import xxh128
+from xxhash import xxh64, xxh128
 
 from ..interfaces import Clock
 from ..interfaces.row_store import Condition, Put, RowKey, RowStore, StoredRow
-from ..outcomes import new_token
 from ..storage.follower import TableReader
 
 logger = logging.getLogger(__name__)
@@ -20,6 +21,13 @@
 # the second one.
 MAX_STRIKES = 2
 MAX_FINGERPRINTS = 20_000  # about 5 MB
+MAX_COMPLETED_FINGERPRINTS = 10_000  # about 2 MB
+# Least interval between two attempts to delete rows.
+RETRY_INTERVAL_MS = 500.0
+# All entry VMs learn of a crash at once. The first one to delete its row spares the
+# others the call.
+MAX_DELETE_DELAY_MS = 300.0
+MAX_DELETED_ROWS = 50  # in one transaction
 
 
 def request_fingerprint(method: str, host: str, target: str, body: bytes) -> str:
@@ -32,70 +40,195 @@
     return digest.hexdigest()
 
 
+def row_key(fingerprint: str, strike_id: str) -> RowKey:
+    """Return the key of the row of a strike."""
+    return RowKey(TABLE, "", f"{fingerprint}.{strike_id}")
+
+
+@dataclass(frozen=True, slots=True)
+class Strike:
+    """Crash of a server that was running a request.
+
+    Parameters
+    ----------
+    crash : str
+        Server that crashed, and its start.
+    version : int
+        Version of the stored row; 0 before the table has shown it.
+    """
+
+    crash: str
+    version: int = 0
+
+
 class CrashStrikes(TableReader):
     """Server crashes by request fingerprint, shared by all entry VMs through the store.
 
+    A request that crashes each server that runs it never completes. So the crashes of a
+    fingerprint no longer count once a request with it has completed, here or at another
+    entry VM: they were chance, and their rows are deleted.
+
     Parameters
     ----------
     store : RowStore
         The platform's store.
     clock : Clock
         Source of time.
+
+    Attributes
+    ----------
+    crashes : dict of str to dict of str to Strike
+        Strikes by their ids, by fingerprint; the fingerprint of the last one is last.
+    completed : dict of str to None
+        Fingerprints of the last requests that completed here.
+    clearing : set of str
+        Fingerprints whose rows are being deleted.
     """
 
     def __init__(self, store: RowStore, clock: Clock) -> None:
         self.store = store
         self.clock = clock
-        self.crashes: OrderedDict[str, set[str]] = OrderedDict()
+        self.crashes: OrderedDict[str, dict[str, Strike]] = OrderedDict()
+        self.completed: OrderedDict[str, None] = OrderedDict()
+        self.clearing: set[str] = set()
         self.tasks: set[asyncio.Task[None]] = set()
 
     def is_blocked(self, fingerprint: str | None) -> bool:
         """Return whether a request must not be sent to servers any more."""
-        if fingerprint is None:
-            return False
-        return len(self.crashes.get(fingerprint, ())) >= MAX_STRIKES
+        return self.count(fingerprint) >= MAX_STRIKES
 
     def is_suspect(self, fingerprint: str | None) -> bool:
         """Return whether a request was running on a server that crashed."""
-        return fingerprint in self.crashes
-
-    def add(self, fingerprint: str, crash: str) -> None:
-        """Add a crash; the oldest fingerprint is dropped at the limit."""
-        self.crashes.setdefault(fingerprint, set()).add(crash)
+        return self.count(fingerprint) > 0
+
+    def count(self, fingerprint: str | None) -> int:
+        """Return the number of crashes that count against a request."""
+        if fingerprint is None or fingerprint in self.completed:
+            return 0
+        strikes = self.crashes.get(fingerprint, {})
+        return len({strike.crash for strike in strikes.values()})
+
+    def add(self, fingerprint: str, strike_id: str, strike: Strike) -> None:
+        """Add a strike; those of the oldest fingerprint are dropped at the limit."""
+        self.crashes.setdefault(fingerprint, {})[strike_id] = strike
         self.crashes.move_to_end(fingerprint)
         if len(self.crashes) > MAX_FINGERPRINTS:
             self.crashes.popitem(last=False)
 
+    def drop(self, fingerprint: str, strike_id: str) -> None:
+        """Forget a strike."""
+        strikes = self.crashes.get(fingerprint, {})
+        strikes.pop(strike_id, None)
+        if not strikes:
+            self.crashes.pop(fingerprint, None)
+
     def record_crash(self, fingerprint: str, crash: str) -> None:
         """Add a crash here and store it for the other entry VMs."""
-        self.add(fingerprint, crash)
+        if fingerprint in self.completed:
+            return
+        if len(self.crashes) >= MAX_FINGERPRINTS:
+            self.start(self.delete_rows(self.stored_rows(next(iter(self.crashes)))))
+        strike_id = xxh64(crash.encode()).hexdigest()
+        self.add(fingerprint, strike_id, Strike(crash))
         logger.warning(
             "request was running on a server that crashed",
             extra={"fingerprint": fingerprint, "crash": crash},
         )
-        task = asyncio.create_task(self.store_crash(fingerprint, crash))
+        self.start(self.store_crash(fingerprint, strike_id, crash))
+
+    def record_completed(self, fingerprint: str | None) -> None:
+        """Note that a server has run a request to its end."""
+        if fingerprint is None:
+            return
+        self.completed[fingerprint] = None
+        self.completed.move_to_end(fingerprint)
+        if len(self.completed) > MAX_COMPLETED_FINGERPRINTS:
+            self.completed.popitem(last=False)
+        for strike_id, strike in list(self.crashes.get(fingerprint, {}).items()):
+            if not strike.version:
+                self.drop(fingerprint, strike_id)
+        self.clear(fingerprint)
+
+    def clear(self, fingerprint: str) -> None:
+        """Begin to delete the rows of a request that has completed."""
+        if fingerprint in self.crashes and fingerprint not in self.clearing:
+            self.clearing.add(fingerprint)
+            self.start(self.delete_strikes(fingerprint))
+
+    def start(self, work: Coroutine[None, None, None]) -> None:
+        """Run work with the store in the background."""
+        task = asyncio.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def store_crash(self, fingerprint: str, crash: str) -> None:
-        """Write a crash into the store as a separate row."""
-        key = RowKey(TABLE, "", f"{fingerprint}.{new_token()[:8]}")
-        stored = await self.store.transact(
-            [Condition(key, 0)], [Put(key, crash.encode())]
-        )
+    async def store_crash(self, fingerprint: str, strike_id: str, crash: str) -> None:
+        """Write a crash into the store as a separate row.
+
+        Other entry VMs that had the same request on the server write the same row.
+        """
+        key = row_key(fingerprint, strike_id)
+        put = Put(key, crash.encode())
+        stored = await self.store.transact([Condition(key, 0)], [put])
         if isinstance(stored, Err):
             logger.warning(
                 "crash was not stored; it counts on this entry VM only",
                 extra={"fingerprint": fingerprint, "cause": str(stored.err_value)},
             )
 
+    def stored_rows(self, fingerprint: str) -> list[Condition]:
+        """Return the rows of a request that the table has shown."""
+        return [
+            Condition(row_key(fingerprint, strike_id), strike.version)
+            for strike_id, strike in self.crashes.get(fingerprint, {}).items()
+            if strike.version
+        ]
+
+    async def delete_rows(self, rows: Sequence[Condition]) -> None:
+        """Delete rows, as far as no other entry VM has."""
+        rows = rows[:MAX_DELETED_ROWS]
+        deleted = await self.store.transact(
+            rows, [Put(row.row_key, None) for row in rows]
+        )
+        if isinstance(deleted, Err):
+            cause = str(deleted.err_value)
+            logger.warning("crashes were not deleted", extra={"cause": cause})
+
+    async def delete_strikes(self, fingerprint: str) -> None:
+        """Delete the rows of a request that has completed, until none is left.
+
+        The row of a strike that the table has not shown yet is deleted once it has.
+        """
+        delay_ms = random.uniform(0, MAX_DELETE_DELAY_MS)
+        try:
+            await self.clock.sleep_ms(delay_ms)
+            while rows := self.stored_rows(fingerprint):
+                logger.info(
+                    "crashes do not count against a request that has completed",
+                    extra={"fingerprint": fingerprint, "crashes": len(rows)},
+                )
+                await self.delete_rows(rows)
+                # The table shows what is deleted within this time.
+                await self.clock.sleep_ms(RETRY_INTERVAL_MS * random.uniform(1, 2))
+        finally:
+            self.clearing.discard(fingerprint)
+
     def replace_rows(self, rows: Sequence[StoredRow]) -> None:
-        """Add all stored crashes; crashes that are missing in the table are kept."""
+        """Replace the stored crashes; those that are not stored yet are kept."""
+        crashes, self.crashes = self.crashes, OrderedDict()
+        for fingerprint, strikes in crashes.items():
+            for strike_id, strike in strikes.items():
+                if not strike.version:
+                    self.add(fingerprint, strike_id, strike)
         self.change_rows(rows)
 
     def change_rows(self, rows: Sequence[StoredRow]) -> None:
-        """Add stored crashes."""
+        """Apply stored and deleted crashes."""
         for row in rows:
-            if not row.deleted:
-                fingerprint = row.row_key.key.partition(".")[0]
-                self.add(fingerprint, row.value.decode("utf-8", "replace"))
+            fingerprint, _, strike_id = row.row_key.key.partition(".")
+            if row.deleted:
+                self.drop(fingerprint, strike_id)
+                continue
+            crash = row.value.decode("utf-8", "replace")
+            self.add(fingerprint, strike_id, Strike(crash, row.version))
+            if fingerprint in self.completed:
+                self.clear(fingerprint)
