strikes: a crash that could not be stored is written again

A request that crashed servers while the store was away was given up at one entry VM only, and went on to crash servers through all others.

Cause: the row of a crash was written once, and a failure was logged.

Change: it is written again, at most twice a second, until the store has it or a request with the fingerprint has completed. The row has the same key at each entry VM, and a write that is applied late finds it there.

Evidence: test_a_crash_is_stored_once_the_store_is_back fails before (the other entry VM sends the request to a server) and passes now.

--- a/packages/ebonylb/src/ebonylb/forwarding/strikes.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/strikes.py
@@ -22,7 +22,7 @@
 MAX_STRIKES = 2
 MAX_FINGERPRINTS = 20_000  # about 5 MB
 MAX_COMPLETED_FINGERPRINTS = 10_000  # about 2 MB
-# Least interval between two attempts to delete rows.
+# Least interval between two attempts to store a crash, or to delete rows.
 RETRY_INTERVAL_MS = 500.0
 # All entry VMs learn of a crash at once. The first one to delete its row spares the
 # others the call.
@@ -162,18 +162,21 @@
         task.add_done_callback(self.tasks.discard)
 
     async def store_crash(self, fingerprint: str, strike_id: str, crash: str) -> None:
-        """Write a crash into the store as a separate row.
+        """Write a crash into the store as a separate row, and again until it is there.
 
         Other entry VMs that had the same request on the server write the same row.
         """
         key = row_key(fingerprint, strike_id)
         put = Put(key, crash.encode())
-        stored = await self.store.transact([Condition(key, 0)], [put])
-        if isinstance(stored, Err):
+        while strike_id in self.crashes.get(fingerprint, ()):
+            stored = await self.store.transact([Condition(key, 0)], [put])
+            if not isinstance(stored, Err):
+                return
             logger.warning(
-                "crash was not stored; it counts on this entry VM only",
+                "crash was not stored; it counts on this entry VM only for now",
                 extra={"fingerprint": fingerprint, "cause": str(stored.err_value)},
             )
+            await self.clock.sleep_ms(RETRY_INTERVAL_MS * random.uniform(1, 2))
 
     def stored_rows(self, fingerprint: str) -> list[Condition]:
         """Return the rows of a request that the table has shown."""
--- a/packages/ebonylb/tests/test_strikes.py
+++ b/packages/ebonylb/tests/test_strikes.py
@@ -109,3 +109,20 @@
             assert (await site.ask(later)).refusal.outcome is Outcome.GIVEN_UP
 
         run_virtual(scenario())
+
+
+class TestStoreOutage:
+    # Guards against a crash that other entry VMs never learn of.
+    def test_a_crash_is_stored_once_the_store_is_back(self):
+        async def scenario():
+            site = Site()
+            site.world.data.failing_parts.add("")
+            await site.crash_under(site.vms[0])
+            await site.world.clock.sleep_ms(3_000)
+            assert not site.stored_rows()
+            site.world.data.failing_parts.clear()
+            await site.world.clock.sleep_ms(PROPAGATION_MS)
+            response = await site.ask(site.vms[1])
+            assert response.refusal.outcome is Outcome.GIVEN_UP
+
+        run_virtual(scenario())
