--- a/packages/ebonylb/src/ebonylb/forwarding/deadline.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/deadline.py
@@ -25,14 +25,19 @@
         """Run a request and return its final response, which may be a refusal."""
 
 
+def refuse_crashing_request() -> CallerResponse:
+    """Return the refusal of a request that crashes the servers that run it."""
+    return make_refusal(
+        Outcome.GIVEN_UP, "crashes_servers", "servers crashed while running it"
+    )
+
+
 async def run_within_deadline(
     runs: Runs, strikes: CrashStrikes, clock: Clock, state: RequestState
 ) -> CallerResponse | CallerStream:
     """Run a request within its deadline, unless it is known to crash servers."""
-    if strikes.is_blocked(state.fingerprint):
-        return make_refusal(
-            Outcome.GIVEN_UP, "crashes_servers", "servers crashed while running it"
-        )
+    if strikes.is_blocked(state.fingerprint, state.route.kind):
+        return refuse_crashing_request()
     remaining_s = (state.deadline_at_ms - clock.monotonic_ms()) / 1000
     try:
         async with asyncio.timeout(max(0.0, remaining_s)):
--- a/packages/ebonylb/src/ebonylb/forwarding/request_runs.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/request_runs.py
@@ -18,7 +18,7 @@
     is_unverified_success,
     send_to_server,
 )
-from .deadline import Runs
+from .deadline import Runs, refuse_crashing_request
 from .messages import AnswerSource, CallerResponse, CallerStream, make_refusal
 from .request_log import RequestLog
 from .request_state import RequestState
@@ -113,6 +113,10 @@
         """Return whether the request may have another attempt."""
         return state.counted_attempts < self.pool.max_attempts(state.route)
 
+    def is_given_up(self, state: RequestState) -> bool:
+        """Return whether the request crashes the servers that run it."""
+        return self.strikes.is_blocked(state.fingerprint, state.route.kind)
+
     def start_sending(
         self, state: RequestState, server: ListedServer
     ) -> asyncio.Task[AttemptResult]:
@@ -228,10 +232,8 @@
         self, state: RequestState, running: set[asyncio.Task[AttemptResult]]
     ) -> CallerResponse | None:
         """Start an attempt, or return a refusal if no attempt is possible."""
-        if self.strikes.is_blocked(state.fingerprint):
-            return make_refusal(
-                Outcome.GIVEN_UP, "crashes_servers", "servers crashed while running it"
-            )
+        if self.is_given_up(state):
+            return refuse_crashing_request()
         if not self.has_attempts(state):
             return make_refusal(
                 Outcome.MAY_HAVE_RUN,
@@ -281,6 +283,8 @@
                 return required.err_value
             state.software_version = required.ok_value
         while True:
+            if self.is_given_up(state):
+                return refuse_crashing_request()
             if state.refused_attempts >= MAX_REFUSED_ATTEMPTS:
                 return self.pool.refuse_full(state)
             server = self.pool.pick(state)
--- a/packages/ebonylb/src/ebonylb/forwarding/streams.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/streams.py
@@ -4,7 +4,7 @@
 import contextlib
 import logging
 from collections.abc import AsyncGenerator, AsyncIterator
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 from result import Err, Result
@@ -36,6 +36,10 @@
 MAX_LIMIT_WAIT_MS = 1_000.0
 LIMIT_CHECK_INTERVAL_MS = 50.0
 MIN_ABANDON_TIMEOUT_MS = 2_000.0
+# A request that crashes servers does so when it begins to run. A crash does not count
+# against a run that has made more events than these and lasted longer.
+MAX_BEGINNING_EVENTS = 8
+MAX_BEGINNING_MS = 1_000.0
 
 
 class OtherVersionError(StepError):
@@ -46,6 +50,43 @@
     """A stream cannot begin at all, since nobody else could know its version."""
 
 
+class StalledError(StepError):
+    """A server sent no event in time; its connection is open, as far as is known."""
+
+
+# Errors of a stream that say nothing of a crash.
+OPEN_CONNECTION_ERRORS = (OtherVersionError, OriginUnknownError, StalledError)
+
+
+@dataclass(slots=True)
+class RunStart:
+    """Beginning of a run of a stream on one server, in which the run may crash it.
+
+    Attributes
+    ----------
+    events : int
+        Number of events of this run.
+    first_event_ms : float
+        Monotonic time of the first event.
+    """
+
+    events: int = 0
+    first_event_ms: float = 0.0
+
+    def record_event(self, now_ms: float) -> None:
+        """Record an event of this run."""
+        if not self.events:
+            self.first_event_ms = now_ms
+        self.events += 1
+
+    def is_over(self, now_ms: float) -> bool:
+        """Return whether the run has shown that it does not crash its server."""
+        return (
+            self.events > MAX_BEGINNING_EVENTS
+            and now_ms - self.first_event_ms > MAX_BEGINNING_MS
+        )
+
+
 def resolve_server(server: ListedServer, head: ResponseHead) -> ListedServer:
     """Return a server with the software version of the one that answered for it."""
     if head.answered_by is None:
@@ -132,11 +173,21 @@
     except TimeoutError:
         cause = "no response in time"
         connected = request.progress.connected
-        opened = Err(StepError("stream.open", server.name, cause, connected))
+        opened = Err(StalledError("stream.open", server.name, cause, connected))
     state.unfinished.remove(attempt)
+    if isinstance(opened, Err):
+        await record_loss(runs, state, server, opened.err_value)
     return opened
 
 
+async def record_loss(
+    runs: "RequestRuns", state: "RequestState", server: ListedServer, error: StepError
+) -> None:
+    """Record that a stream's connection broke, if that may be a crash of its server."""
+    if error.may_have_run and not isinstance(error, OPEN_CONNECTION_ERRORS):
+        await runs.pool.record_lost_connection(state, server)
+
+
 async def read_next_event(
     runs: "RequestRuns",
     state: "RequestState",
@@ -154,7 +205,7 @@
         async with limit_stall(runs, state):
             return await anext(blocks, None)
     except TimeoutError as error:
-        raise StepError("stream.stall", server.name, "no event in time") from error
+        raise StalledError("stream.stall", server.name, "no event in time") from error
 
 
 async def relay_stream(
@@ -174,6 +225,7 @@
         condition = runs.pool.condition(server)
         condition.own_requests += 1
         last_event_ms: float | None = None
+        start = RunStart()
         if state.software_versions:
             runs.origins.add_open(state.stream_id, state.service, server)
         try:
@@ -187,6 +239,7 @@
                     median_gap_ms = runs.pool.median_gap_ms(state.service)
                     condition.record_gap(now - last_event_ms, median_gap_ms, now)
                 last_event_ms = now
+                start.record_event(now)
                 if number != last_number + 1:
                     raise StepError(
                         "stream.order",
@@ -200,9 +253,11 @@
                     state.software_versions.append(server.software_version)
                 yield block
             condition.record_success(runs.clock.monotonic_ms())
+            runs.strikes.record_completed(state.fingerprint)
             log_stream_end(state, last_number, complete=True)
             return
         except StepError as error:
+            failure = error
             if not isinstance(error, OtherVersionError | OriginUnknownError):
                 condition.record_failure(runs.clock.monotonic_ms())
             logger.warning(
@@ -214,9 +269,6 @@
                     "cause": str(error),
                 },
             )
-            if not state.route.resumable or isinstance(error, OriginUnknownError):
-                log_stream_end(state, last_number, complete=False)
-                raise
         except (asyncio.CancelledError, GeneratorExit):
             runs.log.log_abandoned(state)
             log_stream_end(state, last_number, complete=False)
@@ -225,6 +277,11 @@
             condition.own_requests -= 1
             runs.origins.end(state.stream_id)
             response.close()
+        if not start.is_over(runs.clock.monotonic_ms()):
+            await record_loss(runs, state, server, failure)
+        if not state.route.resumable or isinstance(failure, OriginUnknownError):
+            log_stream_end(state, last_number, complete=False)
+            raise failure
         runs, server, response = await resume_stream(runs, state, last_number)
 
 
@@ -269,6 +326,8 @@
             state.leave_pool()
         if not runs.has_attempts(state) or runs.remaining_ms(state) <= 0:
             break
+        if runs.is_given_up(state):
+            break
         server = await pick_server_for_rest(runs, state)
         if server is None:
             break
--- a/packages/ebonylb/src/ebonylb/forwarding/strikes.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/strikes.py
@@ -12,6 +12,7 @@
 
 from ..interfaces import Clock
 from ..interfaces.row_store import Condition, Put, RowKey, RowStore, StoredRow
+from ..routes import RouteKind
 from ..storage.follower import TableReader
 
 logger = logging.getLogger(__name__)
@@ -20,6 +21,9 @@
 # The platform counts a request's crashes from the third one on, so it is blocked after
 # the second one.
 MAX_STRIKES = 2
+# A crash breaks up to all streams that a server runs, nearly all of them sound, so that
+# a stream may meet two crashes by chance.
+MAX_STREAM_STRIKES = 3
 MAX_FINGERPRINTS = 20_000  # about 5 MB
 MAX_COMPLETED_FINGERPRINTS = 10_000  # about 2 MB
 # Least interval between two attempts to store a crash, or to delete rows.
@@ -93,9 +97,17 @@
         self.clearing: set[str] = set()
         self.tasks: set[asyncio.Task[None]] = set()
 
-    def is_blocked(self, fingerprint: str | None) -> bool:
-        """Return whether a request must not be sent to servers any more."""
-        return self.count(fingerprint) >= MAX_STRIKES
+    def is_blocked(self, fingerprint: str | None, kind: RouteKind) -> bool:
+        """Return whether a request must not be sent to servers any more.
+
+        Parameters
+        ----------
+        kind : RouteKind
+            Kind of the request's route.
+        """
+        is_stream = kind is RouteKind.STREAMING
+        max_strikes = MAX_STREAM_STRIKES if is_stream else MAX_STRIKES
+        return self.count(fingerprint) >= max_strikes
 
     def is_suspect(self, fingerprint: str | None) -> bool:
         """Return whether a request was running on a server that crashed."""
--- a/packages/ebonylb/tests/test_forwarding.py
+++ b/packages/ebonylb/tests/test_forwarding.py
@@ -9,6 +9,7 @@
 from ebonylb.forwarding import CallerRequest, CallerStream, Forwarder
 from ebonylb.forwarding.strikes import request_fingerprint
 from ebonylb.outcomes import Outcome, StepError
+from ebonylb.routes import RouteKind
 from ebonylb_standins.histories.virtual_time import run_virtual
 from ebonylb_standins.site.cut_path import PathState
 from ebonylb_standins.site.servers import EVENT_INTERVAL_MS, PlannedResponse
@@ -217,7 +218,8 @@
             assert modes.count("absent") <= 3
             strikes = vms[0].strikes
             assert strikes.is_blocked(
-                request_fingerprint("POST", "site", "/ask/1", b"poison")
+                request_fingerprint("POST", "site", "/ask/1", b"poison"),
+                RouteKind.IDEMPOTENT,
             )
 
         run_virtual(scenario())
--- a/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
+++ b/packages/ebonylb_standins/src/ebonylb_standins/site/servers.py
@@ -155,9 +155,12 @@
         model = self.port.model_of(self.request)
         version = self.head.weight_version
         first = (self.request.resume_after or 0) + 1
+        crashes_after = self.port.crashing_targets.get(self.request.target)
         await self.process_prompt()
         for number in range(first, self.planned.events + 1):
             await self.generate_event()
+            if number - first == crashes_after:
+                self.server.mode = "absent"
             while self.server.mode == "dark":
                 await self.port.clock.sleep_ms(100)
             if self.server.mode in ("resets", "absent"):
@@ -220,6 +223,9 @@
         Models by request id; other requests are for model ``"m"``.
     report_count : int
         Number of requested server reports.
+    crashing_targets : dict of str to int
+        Number of events after which a request crashes the server that runs it, by its
+        path; 0 for a crash before the first event.
     started_at_ms : dict of str to float
         Time at which a server first started to run each request, by request id.
     first_event_ms, last_event_ms : dict of str to float
@@ -233,6 +239,7 @@
         self.default_response = PlannedResponse()
         self.models: dict[str, str] = {}
         self.report_count = 0
+        self.crashing_targets: dict[str, int] = {}
         self.started_at_ms: dict[str, float] = {}
         self.first_event_ms: dict[str, float] = {}
         self.last_event_ms: dict[str, float] = {}
@@ -282,7 +289,7 @@
         target.started_request_ids.append(request.request_id)
         now = self.clock.monotonic_ms()
         self.started_at_ms.setdefault(request.request_id, now)
-        if target.mode == "crashes":
+        if target.mode == "crashes" or self.crashing_targets.get(request.target) == 0:
             target.mode = "absent"
             return Err(StepError("open", server.name, "connection reset"))
         if target.mode == "resets":
