--- a/packages/ebonylb/src/ebonylb/forwarding/strikes.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/strikes.py
@@ -138,8 +138,9 @@
         """Add a crash here and store it for the other entry VMs."""
         if fingerprint in self.completed:
             return
-        if len(self.crashes) >= MAX_FINGERPRINTS:
-            self.start(self.delete_rows(self.stored_rows(next(iter(self.crashes)))))
+        if fingerprint not in self.crashes and len(self.crashes) >= MAX_FINGERPRINTS:
+            oldest = self.stored_rows(next(iter(self.crashes)))
+            self.start(self.delete_rows(oldest))
         strike_id = xxh64(crash.encode()).hexdigest()
         self.add(fingerprint, strike_id, Strike(crash))
         logger.warning(
@@ -201,6 +202,8 @@
     async def delete_rows(self, rows: Sequence[Condition]) -> None:
         """Delete rows, as far as no other entry VM has."""
         rows = rows[:MAX_DELETED_ROWS]
+        if not rows:
+            return
         deleted = await self.store.transact(
             rows, [Put(row.row_key, None) for row in rows]
         )
--- a/packages/ebonylb/tests/test_strikes.py
+++ b/packages/ebonylb/tests/test_strikes.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ebonylb.forwarding import CallerRequest, CallerStream
+from ebonylb.forwarding import CallerRequest, CallerStream, strikes
 from ebonylb.forwarding.strikes import MAX_STRIKES
 from ebonylb.outcomes import Outcome, StepError
 from ebonylb_standins.histories.virtual_time import run_virtual
@@ -153,6 +153,23 @@
         run_virtual(scenario())
 
 
+class TestCapacity:
+    # Guards against a table that grows with each request that crashes a server.
+    def test_the_rows_of_the_oldest_request_are_deleted(self, monkeypatch):
+        monkeypatch.setattr(strikes, "MAX_FINGERPRINTS", 2)
+
+        async def scenario():
+            site = Site()
+            for crash, fingerprint in enumerate(("a", "b", "b", "a", "c")):
+                site.vms[0].strikes.record_crash(fingerprint, str(crash))
+                await site.world.clock.sleep_ms(PROPAGATION_MS)
+            keys = [row.key.partition(".")[0] for row in site.stored_rows()]
+            assert sorted(keys) == ["a", "a", "c"]
+            assert list(site.vms[1].strikes.crashes) == ["a", "c"]
+
+        run_virtual(scenario())
+
+
 class TestStoreOutage:
     # Guards against a crash that other entry VMs never learn of.
     def test_a_crash_is_stored_once_the_store_is_back(self):
