strikes: a stream beside one that crashes servers is not refused with it

A sound stream that begins together with a crashing one is sent to the same servers, each time the least loaded ones. After three shared crashes both were refused for good.

Cause: three strikes gave a stream up, whoever else was suspected of the same crashes.

Change: the table names all suspects of a crash. A stream with three strikes is given up if it is the only suspect of one of its crashes, else after six.

Why it works: a sound stream comes whole at its next sending and is no suspect any more, which leaves the crashing one alone. Six keep the platform's bound of three sendings after the third crash, as each sending that reaches a server crashes one.

--- a/packages/ebonylb/src/ebonylb/forwarding/strikes.py
+++ b/packages/ebonylb/src/ebonylb/forwarding/strikes.py
@@ -22,8 +22,11 @@
 # the second one.
 MAX_STRIKES = 2
 # A crash breaks up to all streams that a server runs, nearly all of them sound, so that
-# a stream may meet two crashes by chance.
+# a stream may meet several crashes by chance. It is blocked after the first number if
+# it was the only suspect of one of them, and after the second one in any case: the
+# platform allows three more sendings after the third crash.
 MAX_STREAM_STRIKES = 3
+MAX_SHARED_STREAM_STRIKES = 6
 MAX_FINGERPRINTS = 20_000  # about 5 MB
 MAX_COMPLETED_FINGERPRINTS = 10_000  # about 2 MB
 # Least interval between two attempts to store a crash, or to delete rows.
@@ -83,6 +86,8 @@
     ----------
     crashes : dict of str to dict of str to Strike
         Strikes by their ids, by fingerprint; the fingerprint of the last one is last.
+    suspects : dict of str to set of str
+        Fingerprints of the requests that each crash counts against.
     completed : dict of str to None
         Fingerprints of the last requests that completed here.
     clearing : set of str
@@ -93,6 +98,7 @@
         self.store = store
         self.clock = clock
         self.crashes: OrderedDict[str, dict[str, Strike]] = OrderedDict()
+        self.suspects: dict[str, set[str]] = {}
         self.completed: OrderedDict[str, None] = OrderedDict()
         self.clearing: set[str] = set()
         self.tasks: set[asyncio.Task[None]] = set()
@@ -105,9 +111,15 @@
         kind : RouteKind
             Kind of the request's route.
         """
-        is_stream = kind is RouteKind.STREAMING
-        max_strikes = MAX_STREAM_STRIKES if is_stream else MAX_STRIKES
-        return self.count(fingerprint) >= max_strikes
+        count = self.count(fingerprint)
+        if kind is not RouteKind.STREAMING:
+            return count >= MAX_STRIKES
+        if count < MAX_STREAM_STRIKES:
+            return False
+        return count >= MAX_SHARED_STREAM_STRIKES or any(
+            len(self.suspects[strike.crash]) == 1
+            for strike in self.crashes[fingerprint].values()
+        )
 
     def is_suspect(self, fingerprint: str | None) -> bool:
         """Return whether a request was running on a server that crashed."""
@@ -124,15 +136,25 @@
         """Add a strike; those of the oldest fingerprint are dropped at the limit."""
         self.crashes.setdefault(fingerprint, {})[strike_id] = strike
         self.crashes.move_to_end(fingerprint)
+        self.suspects.setdefault(strike.crash, set()).add(fingerprint)
         if len(self.crashes) > MAX_FINGERPRINTS:
-            self.crashes.popitem(last=False)
+            oldest = next(iter(self.crashes))
+            for each in list(self.crashes[oldest]):
+                self.drop(oldest, each)
 
     def drop(self, fingerprint: str, strike_id: str) -> None:
         """Forget a strike."""
         strikes = self.crashes.get(fingerprint, {})
-        strikes.pop(strike_id, None)
+        strike = strikes.pop(strike_id, None)
+        if strike is None:
+            return
         if not strikes:
-            self.crashes.pop(fingerprint, None)
+            del self.crashes[fingerprint]
+        if strike.crash not in {each.crash for each in strikes.values()}:
+            suspects = self.suspects[strike.crash]
+            suspects.discard(fingerprint)
+            if not suspects:
+                del self.suspects[strike.crash]
 
     def record_crash(self, fingerprint: str, crash: str) -> None:
         """Add a crash here and store it for the other entry VMs."""
@@ -232,7 +254,7 @@
 
     def replace_rows(self, rows: Sequence[StoredRow]) -> None:
         """Replace the stored crashes; those that are not stored yet are kept."""
-        crashes, self.crashes = self.crashes, OrderedDict()
+        crashes, self.crashes, self.suspects = self.crashes, OrderedDict(), {}
         for fingerprint, strikes in crashes.items():
             for strike_id, strike in strikes.items():
                 if not strike.version:
--- a/packages/ebonylb/tests/test_strikes.py
+++ b/packages/ebonylb/tests/test_strikes.py
@@ -279,6 +279,31 @@
 
         run_virtual(scenario())
 
+    # Guards against a stream that is refused since it met one that crashes servers on
+    # each of its servers, as both are sent to the least loaded one.
+    def test_a_stream_that_shared_three_crashes_is_served(self):
+        async def scenario():
+            site = Site()
+            for _ in range(3):
+                site.world.port.crashing_targets["/live/7e57"] = 3
+                for server in site.servers[1:]:
+                    server.mode = "refuses"
+                sound = asyncio.create_task(site.read(site.vms[0], "/live/1"))
+                await site.read(site.vms[1], "/live/7e57")
+                assert await sound != (24, True)
+                site.revive()
+                site.set_mode("serves")
+                await site.world.clock.sleep_ms(PROPAGATION_MS)
+            assert site.crashes == 3
+            for vm in site.vms:
+                assert await site.read(vm, "/live/1") == (24, True)
+            await site.world.clock.sleep_ms(PROPAGATION_MS)
+            for vm in site.vms:
+                response = await site.ask(vm, "/live/7e57", events=24)
+                assert response.refusal.outcome is Outcome.GIVEN_UP
+
+        run_virtual(scenario())
+
     # Guards against crashes that count against streams long after they began.
     def test_a_crash_in_the_middle_does_not_count(self):
         async def scenario():
